--- /dev/null
+++ b/admit/admit.go
@@ -0,0 +1,632 @@
+package admit
+
+// How it is called: New(terms, seed) makes one backend's instance, and Decide is
+// given everything that happens to it, first Opened, and appends to out what is
+// to be done. The events, actions and terms stand in types.go. Nothing here knows
+// of a wire, another instance or a clock of its own.
+//
+// The design: every arrival is counted with its retry mark; a throttle says
+// "don't retry" while the recent share of marks is above retryCut, else it invites
+// a try elsewhere; an arrival is throttled when the smoothed run queue is above
+// a threshold that rises with rank and the cores are busy.
+//
+// Guards of the four rules: due (one answer in time, running work included),
+// remembered (no effect twice), drain (grace and stop), memory, crowd (the cores,
+// sooner when cold), share (calls below).
+//
+// Mechanisms beside the design, six at most:
+//  1. hopeless: what cannot meet its latency objective on busy cores is throttled at once
+//  2. lines: a short and a long line, by response ratio, run while the cores have room
+//  3. share of a tenant: beyond its part of the quota an invocation ranks as what it is worth
+//  4. stay away: a throttle says when the excess will have drained; the free value says the same
+//  5. stop: running work that nobody waits for is stopped where that is possible
+
+import "math"
+
+const (
+	tickMost      = 20_000          // gauges are read at least this often
+	retryWindow   = 4_000_000       // the recent past of the retry share
+	retryCut      = 0.10            // the source's retry budget
+	smoothing     = 100_000         // time constant of the run queue
+	lowPerCore    = 1.0             // threshold of the lowest rank
+	topPerCore    = 2.5             // threshold of the highest rank
+	runPerCore    = 1.5             // runs wanted on the cores
+	busyShare     = 0.85            // cores count as busy from here on
+	crowdSafety   = 0.85            // part of the survivable crowd ever used
+	startMemory   = 0.80            // no start beyond this part of memory
+	holdMemory    = 0.90            // no invocation held beyond it
+	paceOver      = 20_000_000      // what an operation costs here is learnt over this
+	tenantOver    = 2_000_000       // a tenant's rate is measured over this
+	tenantSlack   = 1.2             // uneven callers: part of the quota over an even part
+	callAttempts  = 3               // of one invocation
+	callRetryPart = 0.10            // retried calls to first calls
+	callRetryOver = 10_000_000      // measured over this
+	callWaitCore  = 2.0             // invocations waiting at calls, by core
+	awayLeast     = 50_000          // shortest advice to stay away
+	token         = int64(1)        // of the one timer
+	never         = Micros(1 << 60) // no such time
+)
+
+type phase int
+
+const (
+	held phase = iota
+	running
+	atCall
+	calling
+	reusing
+)
+
+type invocation struct {
+	id       string
+	op       *Operation
+	pace     *pace
+	rank     float64
+	unit     float64 // expected work in the hint's terms
+	kb       float64
+	arrived  Micros
+	wantBy   Micros
+	due      Micros
+	phase    phase
+	attempts int     // calls made
+	notUntil Micros  // the next call
+	began    float64 // coreTime at the start of the run
+	answered bool    // nothing is owed; it only leaves the cores
+	stopped  Micros  // when a stop was last asked for
+}
+
+type entry struct {
+	until Micros
+	kb    float64
+	ran   bool
+}
+
+// Backend decides for one instance.
+type Backend struct {
+	t       Terms
+	chance  uint64
+	hand    []*invocation // everything read and not over, in order of arrival
+	byID    map[string]*invocation
+	kept    map[string]*entry
+	paces   []pace
+	tenants []decaying // admitted invocations of each
+	opened  Micros
+	tick    Micros
+	nextAt  Micros
+	drainAt Micros
+	stopAt  Micros
+
+	reads, retries         decaying
+	firstCalls, retryCalls decaying
+	callTook, callsEnded   decaying
+	callMean               decaying
+	lingering              []Micros // when abandoned calls leave the dependency
+
+	readAt   Micros  // of the gauges
+	onCores  float64 // at that reading
+	coreUse  float64
+	queue    float64 // the smoothed run queue, waiting invocations included
+	since    float64 // admitted less ended since that reading
+	begun    float64 // started less ended since that reading
+	coreTime float64 // time that one run among those present has had on a core
+	value    float64 // the free value last sent
+}
+
+// decaying is a sum that forgets with time constant over.
+type decaying struct {
+	sum  float64
+	at   Micros
+	over float64
+}
+
+func (d *decaying) read(now Micros) float64 {
+	if now > d.at {
+		d.sum *= math.Exp(-float64(now-d.at) / d.over)
+		d.at = now
+	}
+	return d.sum
+}
+
+func (d *decaying) add(now Micros, x float64) { d.sum = d.read(now) + x }
+
+// pace learns the core time of an operation for each unit of expected work.
+type pace struct{ spent, units decaying }
+
+func (p *pace) ratio(now Micros) float64 { return p.spent.read(now) / p.units.read(now) }
+
+// New makes an instance; its first event is Opened.
+func New(t Terms, seed uint64) *Backend {
+	b := &Backend{
+		t: t, chance: seed, byID: map[string]*invocation{}, kept: map[string]*entry{},
+		paces: make([]pace, len(t.Operations)), tenants: make([]decaying, len(t.QuotaPerSecond)),
+		drainAt: never, stopAt: never,
+		reads: decaying{over: retryWindow}, retries: decaying{over: retryWindow},
+		firstCalls: decaying{over: callRetryOver}, retryCalls: decaying{over: callRetryOver},
+		callTook: decaying{over: callRetryOver}, callsEnded: decaying{over: callRetryOver},
+		callMean: decaying{over: float64(max(t.CallsOver, 1))},
+	}
+	b.t.Cores = max(t.Cores, 1)
+	b.t.Fleet = max(t.Fleet, 1)
+	b.t.Callers = max(t.Callers, 1)
+	b.tick = max(min(tickMost, t.AnswerSlack/3), t.Round, 1000)
+	for n := range b.paces {
+		b.paces[n] = pace{decaying{over: paceOver}, decaying{over: paceOver}}
+	}
+	for n := range b.tenants {
+		b.tenants[n].over = tenantOver
+	}
+	return b
+}
+
+// random is a permuted congruential generator; it returns a value in [0, 1).
+func (b *Backend) random() float64 {
+	b.chance = b.chance*6364136223846793005 + 1442695040888963407
+	x := uint32(((b.chance >> 18) ^ b.chance) >> 27)
+	rot := uint32(b.chance >> 59)
+	return float64(x>>rot|x<<(-rot&31)) / (1 << 32)
+}
+
+// Decide takes what happened and appends what is to be done.
+func (b *Backend) Decide(now Micros, ev Event, out []Action) []Action {
+	switch e := ev.(type) {
+	case Opened:
+		b.opened, b.readAt, b.nextAt = now, now, now+b.tick
+		return append(out, SetHealth{Good: true, FromStore: true}, Wake{At: b.nextAt, Token: token})
+	case Arrived:
+		out = b.arrive(now, e, out)
+	case Finished:
+		out = b.finished(now, e, out)
+	case CallerGone:
+		out = b.gone(now, e.ID, out)
+	case NeedsCall:
+		if inv := b.byID[e.ID]; inv != nil && !inv.answered {
+			inv.phase, inv.notUntil = atCall, now
+			if float64(b.count(atCall)) > callWaitCore*float64(b.t.Cores) {
+				out = b.leaveCall(now, inv, out)
+			}
+		}
+	case CallReturned:
+		out = b.returned(now, e, out)
+	case DrainNotice:
+		b.drainAt, b.stopAt = now, now+e.Left
+		out = append(out, SetHealth{Good: false, FromStore: true})
+	case Reading:
+		if now < b.nextAt {
+			return out // a timer of another life
+		}
+		b.nextAt = now + b.tick
+		out = append(b.reading(now, e, out), Wake{At: b.nextAt, Token: token})
+	}
+	return b.fill(now, b.calls(now, out))
+}
+
+// arrive is the ordinary path of an invocation, from the count of its mark to its line.
+func (b *Backend) arrive(now Micros, a Arrived, out []Action) []Action {
+	b.reads.add(now, 1)
+	if a.Retry {
+		b.retries.add(now, 1)
+	}
+	op := &b.t.Operations[a.Operation]
+	inv := &invocation{
+		id: a.ID, op: op, pace: &b.paces[a.Operation], rank: a.Rank, kb: a.KB, arrived: now - a.Waited,
+		unit: 1, due: now + a.Budget,
+	}
+	if a.Budget <= 0 {
+		inv.due = max(now, inv.arrived+op.ClientTimeout)
+	}
+	if a.Hint > 0 {
+		inv.unit = float64(a.Hint)
+	}
+	inv.wantBy = min(inv.due, inv.arrived+op.Objective+Micros(op.Stretch*float64(a.Hint)))
+	if inv.pace.units.sum == 0 { // a first guess, soon outweighed
+		inv.pace.units.add(now, inv.unit)
+		inv.pace.spent.add(now, max(float64(a.Hint), float64(op.Objective)/8))
+	}
+	b.hand = append(b.hand, inv)
+	b.byID[a.ID] = inv
+
+	// Guards: a repeat never runs again; nothing is taken after the grace, nor beyond memory.
+	late := inv.arrived > b.drainAt+b.t.DrainGrace || now >= b.lastCall()
+	if a.Earlier != "" && b.ran(a.Earlier, op) {
+		if late || inv.due <= now {
+			return b.fail(now, inv, out)
+		}
+		inv.phase = reusing
+		return append(out, Reuse{a.ID})
+	}
+	if late || b.memory() > holdMemory*b.t.MemoryKB {
+		return b.throttle(now, inv, out)
+	}
+
+	// Beyond its part of a tenant's quota, an invocation ranks as what it is worth.
+	if a.Tenant < len(b.tenants) && b.t.QuotaPerSecond[a.Tenant] > 0 {
+		part := b.t.QuotaPerSecond[a.Tenant] / float64(b.t.Fleet) * tenantSlack
+		if b.tenants[a.Tenant].read(now) >= part*tenantOver/1e6 {
+			inv.rank *= b.t.OverShareValue
+		}
+	}
+
+	// The gate: the smoothed run queue against the threshold of this rank, on busy cores.
+	if b.busy() && (b.pressure() > b.threshold(now, inv.rank) || b.hopeless(now, inv)) {
+		return b.throttle(now, inv, out)
+	}
+
+	// Taken: from here on it is remembered, and waits in the short or the long line.
+	if op.Repeat == Tokened || (b.t.Fresh > 0 && op.Repeat == Idempotent && a.Keyed && !a.Write) {
+		span := op.Window
+		if op.Repeat == Idempotent {
+			span = b.t.Fresh
+		}
+		if b.memory()+b.t.KeyKB <= holdMemory*b.t.MemoryKB {
+			b.kept[inv.id] = &entry{until: now + span, kb: b.t.KeyKB}
+			out = append(out, Remember{inv.id, span})
+		} else if op.Repeat == Tokened {
+			return b.throttle(now, inv, out)
+		}
+	}
+	if a.Tenant < len(b.tenants) {
+		b.tenants[a.Tenant].add(now, 1)
+	}
+	b.since++
+	return out
+}
+
+// busy: the gauge of the cores, or more on them than they are.
+func (b *Backend) busy() bool {
+	return b.coreUse >= busyShare || b.onCores+b.begun >= float64(b.t.Cores)
+}
+
+// pressure is the smoothed run queue with what is known to have come and gone since.
+func (b *Backend) pressure() float64 { return b.queue + b.since }
+
+// threshold rises with rank from the cores to below the survivable crowd.
+func (b *Backend) threshold(now Micros, rank float64) float64 {
+	cores := float64(b.t.Cores)
+	top := max(lowPerCore, min(topPerCore, b.crowd(now)/cores))
+	return cores * (lowPerCore + (top-lowPerCore)*rank)
+}
+
+// crowd is how many runs may be on the cores: a part of what is survived, less while cold.
+func (b *Backend) crowd(now Micros) float64 {
+	speed := 1.0
+	if b.t.JustStarted && now < b.opened+b.t.ColdFor {
+		speed = b.t.ColdShare + (1-b.t.ColdShare)*float64(now-b.opened)/float64(b.t.ColdFor)
+	}
+	return max(1, crowdSafety*float64(b.t.Cores)*(1+(b.t.FallMultiple-1)*speed))
+}
+
+// cost is the core time that a run is expected to need here.
+func (b *Backend) cost(now Micros, inv *invocation) float64 { return inv.unit * inv.pace.ratio(now) }
+
+// hopeless: with what is held before it and what runs beside it, it ends after its objective.
+// It holds against any cause of slowness; it harms where costs are guessed far too high.
+func (b *Backend) hopeless(now Micros, inv *invocation) bool {
+	cores := float64(b.t.Cores)
+	ahead := 0.0
+	for _, other := range b.hand {
+		if other == inv {
+			break
+		}
+		if other.phase == held {
+			ahead += b.cost(now, other) / cores
+		}
+	}
+	ends := ahead + b.cost(now, inv)*max(1, (b.onCores+b.begun)/cores)
+	return now+Micros(ends) > min(inv.wantBy, b.lastCall())
+}
+
+// lastCall is when everything must be answered before the process is stopped.
+func (b *Backend) lastCall() Micros { return b.stopAt - 3*b.tick }
+
+// fill starts what waits, while the cores, the crowd and the memory have room.
+func (b *Backend) fill(now Micros, out []Action) []Action {
+	for b.onCores+b.begun < runPerCore*float64(b.t.Cores) {
+		inv := b.next(now)
+		on := float64(b.count(running) + b.count(atCall) + b.count(calling))
+		if inv == nil || on+1 > b.crowd(now) ||
+			b.memory()+inv.kb*(b.t.RunFactor-1) > startMemory*b.t.MemoryKB {
+			break
+		}
+		inv.phase, inv.began = running, b.coreTime
+		if e := b.kept[inv.id]; e != nil {
+			e.ran = true
+		}
+		b.begun++
+		out = append(out, Start{inv.id})
+	}
+	return out
+}
+
+// next is the head of the short or of the long line, whichever waited longer for its length.
+func (b *Backend) next(now Micros) *invocation {
+	mean, n := 0.0, 0.0
+	for _, inv := range b.hand {
+		if inv.phase == held {
+			mean, n = mean+b.cost(now, inv), n+1
+		}
+	}
+	var heads [2]*invocation
+	for _, inv := range b.hand {
+		if inv.phase != held {
+			continue
+		}
+		line := 0
+		if b.cost(now, inv)*n > mean {
+			line = 1
+		}
+		if heads[line] == nil {
+			heads[line] = inv
+		}
+	}
+	short, long := heads[0], heads[1]
+	if short == nil || long == nil {
+		if short == nil {
+			return long
+		}
+		return short
+	}
+	if float64(now-long.arrived)/b.cost(now, long) > float64(now-short.arrived)/b.cost(now, short) {
+		return long
+	}
+	return short
+}
+
+func (b *Backend) count(p phase) int {
+	n := 0
+	for _, inv := range b.hand {
+		if inv.phase == p {
+			n++
+		}
+	}
+	return n
+}
+
+// memory is what held, running and remembered invocations take.
+func (b *Backend) memory() float64 {
+	kb := float64(len(b.kept)) * b.t.KeyKB
+	for _, inv := range b.hand {
+		if inv.phase == held || inv.phase == reusing {
+			kb += inv.kb
+		} else {
+			kb += inv.kb * b.t.RunFactor
+		}
+	}
+	return kb
+}
+
+// ran tells whether the invocation a new one repeats is running or has run; one that
+// is remembered but was never started does not stand in the way of an idempotent repeat.
+func (b *Backend) ran(earlier string, op *Operation) bool {
+	e := b.kept[earlier]
+	return op.Repeat == Tokened || e == nil || e.ran
+}
+
+// throttle turns away what never ran, in words chosen from the recent retry share.
+func (b *Backend) throttle(now Micros, inv *invocation, out []Action) []Action {
+	dont := b.retries.read(now) > retryCut*b.reads.read(now)
+	out = append(out, Throttle{ID: inv.id, RetryIn: b.stayAway(now, inv), DontRetry: dont})
+	return b.drop(inv, out)
+}
+
+// stayAway is the time in which the excess over this rank's threshold drains.
+func (b *Backend) stayAway(now Micros, inv *invocation) Micros {
+	if b.t.MaxRetryAfter <= 0 {
+		return 0
+	}
+	if b.drainAt != never {
+		return b.t.MaxRetryAfter
+	}
+	excess := max(1, b.pressure()-b.threshold(now, inv.rank))
+	away := excess * b.cost(now, inv) / float64(b.t.Cores) * (0.75 + 0.5*b.random())
+	return min(max(Micros(away), awayLeast), b.t.MaxRetryAfter)
+}
+
+// fail answers with an error; what is on the cores stays in hand until it has left them.
+func (b *Backend) fail(now Micros, inv *invocation, out []Action) []Action {
+	out = append(out, Fail{inv.id})
+	if inv.phase == held || inv.phase == reusing {
+		return b.drop(inv, out)
+	}
+	inv.answered = true
+	return b.stop(now, inv, out)
+}
+
+// drop forgets an invocation that is over; an entry of one that never ran goes too.
+func (b *Backend) drop(inv *invocation, out []Action) []Action {
+	for n, other := range b.hand {
+		if other == inv {
+			b.hand = append(b.hand[:n], b.hand[n+1:]...)
+			break
+		}
+	}
+	delete(b.byID, inv.id)
+	if e := b.kept[inv.id]; e != nil && !e.ran {
+		delete(b.kept, inv.id)
+		out = append(out, Forget{inv.id})
+	}
+	return out
+}
+
+// stop takes work that nobody waits for off the cores. Effects that must not happen
+// twice are left to finish, so that their repeats find a result.
+func (b *Backend) stop(now Micros, inv *invocation, out []Action) []Action {
+	if b.t.Preemption == CannotStop || inv.phase != running || inv.op.Repeat != Idempotent ||
+		now < inv.stopped+10*b.tick {
+		return out
+	}
+	inv.stopped = now
+	return append(out, Stop{inv.id})
+}
+
+func (b *Backend) gone(now Micros, id string, out []Action) []Action {
+	inv := b.byID[id]
+	if inv == nil {
+		return out
+	}
+	if inv.phase == held || inv.phase == reusing {
+		if inv.phase == held {
+			b.since--
+		}
+		return b.drop(inv, out)
+	}
+	inv.answered = true
+	return b.stop(now, inv, out)
+}
+
+func (b *Backend) finished(now Micros, e Finished, out []Action) []Action {
+	inv := b.byID[e.ID]
+	if inv == nil {
+		return out
+	}
+	if inv.phase == calling {
+		b.lingering = append(b.lingering, now+b.t.Linger)
+	}
+	if inv.phase != reusing && inv.phase != held {
+		b.since--
+		b.begun--
+		if e.Outcome == OK {
+			inv.pace.spent.add(now, max(1, b.coreTime-inv.began))
+			inv.pace.units.add(now, inv.unit)
+		}
+	}
+	if e.Outcome == Canceled && !inv.answered {
+		out = append(out, Fail{inv.id})
+	}
+	if e.Outcome == OK && inv.op.Repeat == Idempotent && b.kept[inv.id] != nil {
+		b.kept[inv.id].until = now + b.t.Fresh
+		out = append(out, Remember{inv.id, b.t.Fresh})
+	}
+	return b.drop(inv, out)
+}
+
+// calls makes the calls that are waited for, in order, within this backend's share.
+func (b *Backend) calls(now Micros, out []Action) []Action {
+	for len(b.lingering) > 0 && b.lingering[0] <= now {
+		b.lingering = b.lingering[1:]
+	}
+	below := float64(b.count(calling) + len(b.lingering))
+	for _, inv := range b.hand {
+		if inv.phase != atCall || inv.answered || inv.notUntil > now {
+			continue
+		}
+		if b.t.SharedBelow && (below >= max(1, math.Floor(b.t.CallShare)) ||
+			b.callMean.read(now) > 0.9*b.t.CallShare*b.callMean.over) {
+			break
+		}
+		if inv.attempts == 0 {
+			b.firstCalls.add(now, 1)
+		} else {
+			b.retryCalls.add(now, 1)
+		}
+		inv.attempts++
+		inv.phase = calling
+		below++
+		within := min(inv.due, b.lastCall()) - now
+		if ended := b.callsEnded.read(now); ended > 0 {
+			within = min(within, Micros(8*b.callTook.read(now)/ended)+inv.op.Objective/8)
+		}
+		out = append(out, Call{ID: inv.id, Within: max(within, 1000)})
+	}
+	return out
+}
+
+func (b *Backend) returned(now Micros, e CallReturned, out []Action) []Action {
+	inv := b.byID[e.ID]
+	if inv == nil || inv.phase != calling {
+		return out
+	}
+	switch e.Outcome {
+	case OK:
+		b.callTook.add(now, float64(e.Took))
+		b.callsEnded.add(now, 1)
+		inv.phase, inv.attempts = running, 0
+		return out
+	case TimedOut:
+		b.lingering = append(b.lingering, now+b.t.Linger)
+	}
+	inv.phase = atCall
+	if inv.answered {
+		return out
+	}
+	if inv.op.Repeat == Idempotent && inv.attempts < callAttempts &&
+		b.retryCalls.read(now)+1 <= callRetryPart*b.firstCalls.read(now) {
+		inv.notUntil = now + b.tick<<inv.attempts
+		return out
+	}
+	return b.leaveCall(now, inv, out)
+}
+
+// leaveCall gives up on a call: skipped where allowed, else don't retry or an error.
+func (b *Backend) leaveCall(now Micros, inv *invocation, out []Action) []Action {
+	if inv.op.SkippedValue > 0 {
+		inv.phase, inv.attempts = running, 0
+		return append(out, SkipCall{inv.id})
+	}
+	inv.answered = true
+	if inv.op.Repeat == Idempotent {
+		return append(out, Throttle{ID: inv.id, RetryIn: b.stayAway(now, inv), DontRetry: true})
+	}
+	return append(out, Fail{inv.id})
+}
+
+// reading brings the gauges up to date and answers what can wait no longer.
+func (b *Backend) reading(now Micros, r Reading, out []Action) []Action {
+	cores, span := float64(b.t.Cores), float64(now-b.readAt)
+	b.coreTime += span / max(1, (b.onCores+r.OnCores)/2/cores)
+	b.callMean.add(now, float64(b.count(calling)+len(b.lingering))*span)
+	b.readAt, b.coreUse, b.onCores = now, r.CoreUse, r.OnCores
+	if r.OnCores < 0 {
+		b.onCores = float64(b.count(running))
+	}
+	sample := b.onCores + float64(b.count(held))
+	b.queue += b.since // known at once; the rest of the difference is smoothed
+	b.queue += (sample - b.queue) * (1 - math.Exp(-span/smoothing))
+	b.since, b.begun = 0, 0
+
+	for id, e := range b.kept {
+		if e.until <= now {
+			delete(b.kept, id)
+		}
+	}
+	for _, inv := range append([]*invocation(nil), b.hand...) {
+		switch {
+		case inv.answered:
+			out = b.stop(now, inv, out)
+		case now+b.tick >= min(inv.due, b.lastCall()):
+			if inv.phase == held {
+				b.since--
+				out = b.throttle(now, inv, out)
+			} else {
+				out = b.fail(now, inv, out)
+			}
+		case inv.phase == held && b.busy() && b.hopeless(now, inv):
+			b.since--
+			out = b.throttle(now, inv, out)
+		}
+	}
+	return b.advertise(now, out)
+}
+
+// advertise sends the free value, in the meaning that callers here give to it.
+func (b *Backend) advertise(now Micros, out []Action) []Action {
+	value, cores := 1.0, float64(b.t.Cores)
+	load := b.pressure() / cores
+	switch b.t.FreeValue {
+	case NoValue:
+		return out
+	case RankFloor:
+		value = 0
+		if top := b.threshold(now, 1); b.busy() && top > cores {
+			value = min(0.95, max(0, (b.pressure()-cores)/(top-cores)))
+		}
+	case CallerAllowance:
+		value = cores * topPerCore / float64(b.t.Callers) * min(1, runPerCore/max(load, 0.1))
+	case TrafficWeight:
+		value = max(0.05, min(1, runPerCore/max(load, 0.1)))
+	}
+	if math.Abs(value-b.value) < 0.05*max(value, b.value) {
+		return out
+	}
+	b.value = value
+	return append(out, Advertise{value})
+}
--- /dev/null
+++ b/admit/admit_test.go
@@ -0,0 +1,143 @@
+package admit
+
+import (
+	"fmt"
+	"testing"
+)
+
+func TestWordsOnBothSidesOfTheCut(t *testing.T) {
+	tr := newTrace(t, nil)
+	tr.pass(400, 1, 8)
+	tr.note("no retries seen: try elsewhere")
+	for n := range 9 {
+		tr.arrive(fmt.Sprint("first", n), 0, 0)
+	}
+	tr.note("one mark in ten is at the cut, the next goes above it; retries fare alike")
+	tr.arrive("retry0", 0, 0, retry)
+	tr.arrive("retry1", 0, 0, retry)
+	tr.check()
+}
+
+func TestGateByRank(t *testing.T) {
+	tr := newTrace(t, nil)
+	tr.note("a crowded queue on idle cores throttles nobody")
+	tr.pass(400, 0.5, 1.9)
+	tr.arrive("idle", 0, 0)
+	tr.done("idle", OK)
+	tr.note("busy cores, one and a half in the queue for each")
+	tr.pass(400, 1, 3)
+	tr.arrive("low", 0, 0.05)
+	tr.arrive("middle", 0, 0.3)
+	tr.arrive("high", 0, 0.95)
+	tr.arrive("high retry", 0, 0.95, retry)
+	tr.check()
+}
+
+func TestEveryInvocationIsAnsweredInTime(t *testing.T) {
+	tr := newTrace(t, func(t *Terms) { t.Preemption = StopDiscards })
+	brief := func(a *Arrived) { a.Budget = 300_000 }
+	tr.note("running work is failed and stopped, held work throttled, a gone caller's stopped")
+	tr.arrive("runs", 0, 0.9, brief)
+	tr.arrive("gone", 0, 0.9)
+	tr.do(CallerGone{"gone"})
+	tr.pass(100, 0.5, 9)
+	tr.arrive("waits", 0, 0.9, brief)
+	tr.arrive("untold", 0, 0.9, func(a *Arrived) { a.Budget, a.Waited = 0, 4_900_000 })
+	tr.pass(400, 0.5, 9)
+	tr.done("gone", Canceled)
+	tr.done("runs", Canceled)
+	tr.check()
+}
+
+func TestNoEffectTwice(t *testing.T) {
+	tr := newTrace(t, nil)
+	again := func(a *Arrived) { a.Earlier = "tok" }
+	tr.note("a repeat reuses the running or the finished try")
+	tr.arrive("tok", 1, 0.5)
+	tr.arrive("tok2", 1, 0.5, again)
+	tr.done("tok", OK)
+	tr.done("tok2", OK)
+	tr.note("also under overload: never throttled, never run")
+	tr.pass(400, 1, 20)
+	tr.arrive("tok3", 1, 0, again, retry)
+	tr.note("one that never ran leaves no entry behind")
+	tr.pass(400, 0.5, 3)
+	tr.arrive("held", 1, 0.9)
+	tr.do(CallerGone{"held"})
+	tr.note("no call of a non-idempotent run is repeated; the run is failed, not throttled")
+	tr.pass(400, 0.5, 1)
+	tr.arrive("once", 2, 0.5)
+	tr.do(NeedsCall{"once"})
+	tr.do(CallReturned{"once", TimedOut, 100_000})
+	tr.done("once", Canceled)
+	tr.note("where the table has no room, a tokened invocation does not run")
+	tr.b.t.MemoryKB = 200
+	tr.arrive("no room", 1, 0.9, func(a *Arrived) { a.KB = 175 })
+	tr.check()
+}
+
+func TestDrain(t *testing.T) {
+	tr := newTrace(t, nil)
+	tr.arrive("before", 0, 0.5)
+	tr.do(DrainNotice{Left: 3_000_000})
+	tr.pass(900, 0.5, 1)
+	tr.arrive("within", 0, 0.5)
+	tr.pass(200, 0.5, 2)
+	tr.arrive("after", 0, 0.5)
+	tr.arrive("unread before", 0, 0.5, func(a *Arrived) { a.Waited = 200_000 })
+	tr.pass(1900, 0.5, 2)
+	tr.check()
+}
+
+func TestMemory(t *testing.T) {
+	tr := newTrace(t, func(t *Terms) { t.MemoryKB = 500 })
+	tr.note("two runs of 160 fit, a third does not and waits; past the held limit: throttled")
+	for n := range 3 {
+		tr.arrive(fmt.Sprint("inv", n), 0, 0.9)
+	}
+	tr.arrive("large", 0, 0.9, func(a *Arrived) { a.KB = 200 })
+	tr.done("inv0", OK)
+	tr.check()
+}
+
+func TestCrowdWarmAndCold(t *testing.T) {
+	tr := newTrace(t, func(t *Terms) { t.JustStarted, t.FallMultiple, t.ColdFor = true, 2, 3_000_000 })
+	tr.note("runs that left the gauge for a disk still count; cold, two cores bear two")
+	for n := range 4 {
+		tr.arrive(fmt.Sprint("inv", n), 0, 0.9)
+		tr.pass(20, 0.1, 0)
+	}
+	tr.note("warm, they bear three")
+	tr.pass(3_000, 0.1, 0)
+	tr.check()
+}
+
+func TestCallsBelow(t *testing.T) {
+	tr := newTrace(t, func(t *Terms) { t.SharedBelow, t.CallShare = true, 1 })
+	tr.note("one call in hand at most; an abandoned one lingers")
+	tr.arrive("a", 0, 0.9)
+	tr.arrive("b", 0, 0.9)
+	tr.do(NeedsCall{"a"})
+	tr.do(NeedsCall{"b"})
+	tr.do(CallReturned{"a", TimedOut, 100_000})
+	tr.done("a", Canceled)
+	tr.pass(220, 0.2, 1)
+	tr.do(CallReturned{"b", OK, 10_000})
+	tr.done("b", OK)
+	tr.note("with enough first calls made, a safe call is tried three times in all")
+	tr.b.firstCalls.add(tr.now, 100)
+	tr.arrive("c", 0, 0.9)
+	tr.do(NeedsCall{"c"})
+	for range 3 {
+		tr.do(CallReturned{"c", Full, 1000})
+		tr.pass(200, 0.2, 1)
+	}
+	tr.done("c", Canceled)
+	tr.note("skipped where that is allowed")
+	tr.b.t.Operations[0].SkippedValue = 0.5
+	tr.b.firstCalls.sum = 0
+	tr.arrive("d", 0, 0.9)
+	tr.do(NeedsCall{"d"})
+	tr.do(CallReturned{"d", Unreachable, 1000})
+	tr.check()
+}
--- /dev/null
+++ b/wire/wire.go
@@ -0,0 +1,256 @@
+// Package wire turns the lines of the willow-5ce1 dialect into admit's events
+// and admit's actions into lines. It decides nothing.
+package wire
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+
+	"milletbarrow/admit"
+)
+
+// Open starts a life of an instance.
+type Open struct {
+	Seed   uint64
+	Terms  admit.Terms
+	Gauges []string
+}
+
+// Gone ends a life without warning.
+type Gone struct{}
+
+// Gauge carries raw gauge values; Name them with Open.Gauges.
+type Gauge struct {
+	Token  int64
+	Values []float64
+}
+
+// Message is one line of input: the clock line, an event, or the end of a batch.
+type Message struct {
+	Name     string
+	At       admit.Micros // Sync
+	Round    int64        // Sync
+	Instance int
+	Event    any // admit.Event, Open, Gone or Gauge
+}
+
+type fields struct {
+	I          *int       `json:"i"`
+	At         *float64   `json:"at_time_ms"`
+	Round      *int64     `json:"round"`
+	Seed       *uint64    `json:"init_seed"`
+	Settings   *settings  `json:"settings"`
+	Req        string     `json:"req"`
+	HintMs     float64    `json:"hint_ms"`
+	Update     bool       `json:"update"`
+	Subject    string     `json:"subject"`
+	Prio       float64    `json:"prio"`
+	WaitedMs   float64    `json:"waited_ms"`
+	Project    int        `json:"project"`
+	KB         float64    `json:"kb"`
+	IsRetry    bool       `json:"is_retry"`
+	Service    *int       `json:"service"`
+	BudgetMs   float64    `json:"time_budget_ms"`
+	Earlier    text       `json:"earlier"`
+	StateCode  string     `json:"state_code"`
+	DurationMs float64    `json:"duration_ms"`
+	Token      *int64     `json:"token"`
+	Feedback   *[]float64 `json:"feedback"`
+}
+
+// text is a string that may also come as null or as the number 0, meaning none.
+type text string
+
+func (t *text) UnmarshalJSON(raw []byte) error {
+	if string(raw) == "null" || string(raw) == "0" {
+		return nil
+	}
+	return json.Unmarshal(raw, (*string)(t))
+}
+
+// codes maps the wire's outcome words.
+var codes = map[string]admit.Outcome{
+	"Ok": admit.OK, "Failed": admit.Errored, "QueueFull": admit.Full, "TimedOut": admit.TimedOut,
+	"ConnectError": admit.Unreachable, "ResetByPeer": admit.Reset, "Canceled": admit.Canceled, "Ignored": admit.Void,
+}
+
+// micros converts milliseconds, with room to add two of them safely.
+func micros(ms float64) admit.Micros {
+	const most = 1e15
+	return admit.Micros(math.Round(math.Max(-most, math.Min(most, ms*1000))))
+}
+
+func millis(t admit.Micros) float64 { return float64(t) / 1000 }
+
+// Read decodes one line.
+func Read(line []byte) (Message, error) {
+	var object map[string]json.RawMessage
+	if err := json.Unmarshal(line, &object); err != nil {
+		return Message{}, fmt.Errorf("not a JSON object: %w", err)
+	}
+	if len(object) != 1 {
+		return Message{}, fmt.Errorf("a message has one name, this has %d", len(object))
+	}
+	var msg Message
+	var body json.RawMessage
+	for name, raw := range object {
+		msg.Name, body = name, raw
+	}
+	if b := bytes.TrimSpace(body); len(b) == 0 || b[0] != '{' {
+		return msg, fmt.Errorf("%s: the fields are not an object", msg.Name)
+	}
+	var f fields
+	if err := json.Unmarshal(body, &f); err != nil {
+		return msg, fmt.Errorf("%s: %w", msg.Name, err)
+	}
+	err := msg.fill(&f)
+	if err != nil {
+		err = fmt.Errorf("%s: %w", msg.Name, err)
+	}
+	return msg, err
+}
+
+func (msg *Message) fill(f *fields) error {
+	switch msg.Name {
+	case "Sync":
+		if f.At == nil || f.Round == nil {
+			return errors.New("at_time_ms or round is missing")
+		}
+		msg.At, msg.Round = micros(*f.At), *f.Round
+		return nil
+	case "Commit":
+		return nil
+	}
+	if f.I == nil {
+		return errors.New("i is missing")
+	}
+	msg.Instance = *f.I
+	code, known := codes[f.StateCode]
+	switch msg.Name {
+	case "OpenInstance":
+		if f.Seed == nil || f.Settings == nil {
+			return errors.New("init_seed or settings is missing")
+		}
+		msg.Event = Open{Seed: *f.Seed, Terms: f.Settings.terms(), Gauges: f.Settings.Family.Gauges}
+		return nil
+	case "Detach":
+		msg.Event = Gone{}
+		return nil
+	case "Sigterm":
+		msg.Event = admit.DrainNotice{Left: micros(f.BudgetMs)}
+		return nil
+	case "Alarm":
+		if f.Token == nil || f.Feedback == nil {
+			return errors.New("token or feedback is missing")
+		}
+		msg.Event = Gauge{Token: *f.Token, Values: *f.Feedback}
+		return nil
+	case "Req":
+		if f.Service == nil {
+			return errors.New("service is missing")
+		}
+		msg.Event = admit.Arrived{
+			ID: f.Req, Operation: *f.Service, Tenant: f.Project, Rank: f.Prio, Retry: f.IsRetry, Write: f.Update,
+			Keyed: f.Subject != "", Hint: micros(f.HintMs), Waited: micros(f.WaitedMs),
+			Budget: micros(f.BudgetMs), KB: f.KB, Earlier: string(f.Earlier),
+		}
+	case "Done":
+		msg.Event = admit.Finished{ID: f.Req, Outcome: code, Took: micros(f.DurationMs)}
+	case "TimedOutClient":
+		msg.Event = admit.CallerGone{ID: f.Req}
+	case "WantsCall":
+		msg.Event = admit.NeedsCall{ID: f.Req}
+	case "Returned":
+		msg.Event = admit.CallReturned{ID: f.Req, Outcome: code, Took: micros(f.DurationMs)}
+	default:
+		return errors.New("unknown message")
+	}
+	if f.Req == "" {
+		return errors.New("req is missing")
+	}
+	if (msg.Name == "Done" || msg.Name == "Returned") && !known {
+		return fmt.Errorf("unknown state_code %q", f.StateCode)
+	}
+	return nil
+}
+
+// Reading names the raw gauges of an Alarm; what is not among them is -1.
+func (g Gauge) Reading(names []string) admit.Reading {
+	r := admit.Reading{Token: g.Token, CoreUse: -1, OnCores: -1, MemoryShare: -1, Connections: -1}
+	byName := map[string]*float64{
+		"core_use": &r.CoreUse, "on_cores": &r.OnCores, "heap_share": &r.MemoryShare, "links": &r.Connections,
+	}
+	for n, name := range names {
+		if to := byName[name]; to != nil && n < len(g.Values) {
+			*to = g.Values[n]
+		}
+	}
+	return r
+}
+
+type steer struct {
+	I       int      `json:"i"`
+	Req     string   `json:"req,omitempty"`
+	RetryIn float64  `json:"retry_in_ms,omitempty"`
+	GiveUp  bool     `json:"give_up,omitempty"`
+	Within  float64  `json:"within_ms,omitempty"`
+	HoldFor float64  `json:"hold_for_ms,omitempty"`
+	Want    *bool    `json:"want,omitempty"`
+	Stored  bool     `json:"stored,omitempty"`
+	X       *float64 `json:"x,omitempty"`
+	When    *float64 `json:"when_ms,omitempty"`
+	Token   *int64   `json:"token,omitempty"`
+	Message string   `json:"message,omitempty"`
+}
+
+func writeLine(w io.Writer, name string, body any) error {
+	return json.NewEncoder(w).Encode(map[string]any{name: body})
+}
+
+// WriteAction encodes one action of an instance.
+func WriteAction(w io.Writer, i int, action admit.Action) error {
+	switch a := action.(type) {
+	case admit.Start:
+		return writeLine(w, "Launch", steer{I: i, Req: a.ID})
+	case admit.Stop:
+		return writeLine(w, "Halt", steer{I: i, Req: a.ID})
+	case admit.Throttle:
+		return writeLine(w, "Decline", steer{I: i, Req: a.ID, RetryIn: millis(a.RetryIn), GiveUp: a.DontRetry})
+	case admit.Fail:
+		return writeLine(w, "EndFailed", steer{I: i, Req: a.ID})
+	case admit.Call:
+		return writeLine(w, "CallDep", steer{I: i, Req: a.ID, Within: millis(a.Within)})
+	case admit.SkipCall:
+		return writeLine(w, "Bypass", steer{I: i, Req: a.ID})
+	case admit.Remember:
+		return writeLine(w, "Keep", steer{I: i, Req: a.ID, HoldFor: millis(a.For)})
+	case admit.Forget:
+		return writeLine(w, "Forget", steer{I: i, Req: a.ID})
+	case admit.Reuse:
+		return writeLine(w, "Share", steer{I: i, Req: a.ID})
+	case admit.SetHealth:
+		return writeLine(w, "Health", steer{I: i, Want: &a.Good, Stored: a.FromStore})
+	case admit.Advertise:
+		return writeLine(w, "Stamp", steer{I: i, X: &a.Value})
+	case admit.Wake:
+		at := millis(a.At)
+		return writeLine(w, "After", steer{I: i, When: &at, Token: &a.Token})
+	case admit.Log:
+		return writeLine(w, "WriteLog", steer{I: i, Message: a.Text})
+	}
+	return fmt.Errorf("no line for action %T", action)
+}
+
+// WriteFault declares that the decision code of an instance has failed.
+func WriteFault(w io.Writer, i int, message string) error {
+	return writeLine(w, "BailOut", steer{I: i, Message: message})
+}
+
+// WriteYield ends the reply to a batch.
+func WriteYield(w io.Writer, round int64) error {
+	return writeLine(w, "Yield", map[string]int64{"round": round})
+}
