Count runs that have not ended into what a run costs, and unread time into the advice

Cause: on servers that slow down until nothing ends, costs learnt from ended runs stay those of better times, and the advice to stay away knew nothing of what stands unread. Also holds against hung work, stolen cores and a slow disk; may harm where rare very long work is normal and cores few.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -36,6 +36,8 @@
 	startMemory   = 0.80            // no start beyond this part of memory
 	holdMemory    = 0.90            // no invocation held beyond it
 	paceOver      = 20_000_000      // what an operation costs here is learnt over this
+	dragOver      = 2_000_000       // and over this, whether runs get on as they did
+	dragPrior     = 100_000         // core time, by core, that speaks for no change
 	tenantOver    = 2_000_000       // a tenant's rate is measured over this
 	tenantSlack   = 1.2             // uneven callers: part of the quota over an even part
 	callAttempts  = 3               // of one invocation
@@ -64,6 +66,7 @@
 	rank     float64
 	unit     float64 // expected work in the hint's terms
 	kb       float64
+	unread   Micros // it waited so long to be read
 	arrived  Micros
 	wantBy   Micros
 	due      Micros
@@ -71,6 +74,7 @@
 	attempts int     // calls made
 	notUntil Micros  // the next call
 	began    float64 // coreTime at the start of the run
+	leftAt   float64 // coreTime when it left the cores for a call
 	answered bool    // nothing is owed; it only leaves the cores
 	stopped  Micros  // when a stop was last asked for
 }
@@ -105,11 +109,13 @@
 	readAt   Micros  // of the gauges
 	onCores  float64 // at that reading
 	coreUse  float64
-	queue    float64 // the smoothed run queue, waiting invocations included
-	since    float64 // admitted less ended since that reading
-	begun    float64 // started less ended since that reading
-	coreTime float64 // time that one run among those present has had on a core
-	value    float64 // the free value last sent
+	spent    decaying // core time of all runs, ended or not
+	earned   decaying // what the runs that ended were expected to cost
+	queue    float64  // the smoothed run queue, waiting invocations included
+	since    float64  // admitted less ended since that reading
+	begun    float64  // started less ended since that reading
+	coreTime float64  // time that one run among those present has had on a core
+	value    float64  // the free value last sent
 }
 
 // decaying is a sum that forgets with time constant over.
@@ -144,6 +150,7 @@
 		firstCalls: decaying{over: callRetryOver}, retryCalls: decaying{over: callRetryOver},
 		callTook: decaying{over: callRetryOver}, callsEnded: decaying{over: callRetryOver},
 		callMean: decaying{over: float64(max(t.CallsOver, 1))},
+		spent:    decaying{over: dragOver}, earned: decaying{over: dragOver},
 	}
 	b.t.Cores = max(t.Cores, 1)
 	b.t.Fleet = max(t.Fleet, 1)
@@ -180,7 +187,7 @@
 		out = b.gone(now, e.ID, out)
 	case NeedsCall:
 		if inv := b.byID[e.ID]; inv != nil && !inv.answered {
-			inv.phase, inv.notUntil = atCall, now
+			inv.phase, inv.notUntil, inv.leftAt = atCall, now, b.coreTime
 			if float64(b.count(atCall)) > callWaitCore*float64(b.t.Cores) {
 				out = b.leaveCall(now, inv, out)
 			}
@@ -208,7 +215,7 @@
 	}
 	op := &b.t.Operations[a.Operation]
 	inv := &invocation{
-		id: a.ID, op: op, pace: &b.paces[a.Operation], rank: a.Rank, kb: a.KB, arrived: now - a.Waited,
+		id: a.ID, op: op, pace: &b.paces[a.Operation], rank: a.Rank, kb: a.KB, unread: a.Waited, arrived: now - a.Waited,
 		unit: 1, due: now + a.Budget,
 	}
 	if a.Budget <= 0 {
@@ -295,8 +302,19 @@
 	return max(1, crowdSafety*float64(b.t.Cores)*(1+(b.t.FallMultiple-1)*speed))
 }
 
-// cost is the core time that a run is expected to need here.
-func (b *Backend) cost(now Micros, inv *invocation) float64 { return inv.unit * inv.pace.ratio(now) }
+// drag is how many times more core time runs take of late than they did. Runs that have
+// not ended count with the time they have had, so it sees work that hangs or crawls, for
+// whatever reason, though nothing finishes to tell of it. Rare very long work can raise it
+// for a while; it falls back by itself once nothing runs.
+func (b *Backend) drag(now Micros) float64 {
+	prior := dragPrior * float64(b.t.Cores)
+	return max(1, (b.spent.read(now)+prior)/(b.earned.read(now)+prior))
+}
+
+// cost is the core time that a run is expected to need here as things are.
+func (b *Backend) cost(now Micros, inv *invocation) float64 {
+	return inv.unit * inv.pace.ratio(now) * b.drag(now)
+}
 
 // hopeless: with what is held before it and what runs beside it, it ends after its objective.
 // It holds against any cause of slowness; it harms where costs are guessed far too high.
@@ -408,7 +426,9 @@
 	return b.drop(inv, out)
 }
 
-// stayAway is the time in which the excess over this rank's threshold drains.
+// stayAway is the time in which the excess over this rank's threshold drains, or as long as
+// this invocation waited to be read: what is sent now would wait as long. Gauges do not show
+// what stands unread before a server that barely reads. On a short pause it may be too long.
 func (b *Backend) stayAway(now Micros, inv *invocation) Micros {
 	if b.t.MaxRetryAfter <= 0 {
 		return 0
@@ -418,7 +438,7 @@
 	}
 	excess := max(1, b.pressure()-b.threshold(now, inv.rank))
 	away := excess * b.cost(now, inv) / float64(b.t.Cores) * (0.75 + 0.5*b.random())
-	return min(max(Micros(away), awayLeast), b.t.MaxRetryAfter)
+	return min(max(Micros(away), inv.unread, awayLeast), b.t.MaxRetryAfter)
 }
 
 // fail answers with an error; what is on the cores stays in hand until it has left them.
@@ -484,10 +504,17 @@
 	if inv.phase != reusing && inv.phase != held {
 		b.since--
 		b.begun--
+		if inv.phase != running {
+			b.resume(inv)
+		}
+		had, expected := max(1, b.coreTime-inv.began), inv.unit*inv.pace.ratio(now)
 		if e.Outcome == OK {
-			inv.pace.spent.add(now, max(1, b.coreTime-inv.began))
+			inv.pace.spent.add(now, had)
 			inv.pace.units.add(now, inv.unit)
+		} else {
+			expected = min(expected, had) // it may have been cut short
 		}
+		b.earned.add(now, expected)
 	}
 	if e.Outcome == Canceled && !inv.answered {
 		out = append(out, Fail{inv.id})
@@ -539,7 +566,7 @@
 	case OK:
 		b.callTook.add(now, float64(e.Took))
 		b.callsEnded.add(now, 1)
-		inv.phase, inv.attempts = running, 0
+		b.resume(inv)
 		return out
 	case TimedOut:
 		b.lingering = append(b.lingering, now+b.t.Linger)
@@ -556,10 +583,16 @@
 	return b.leaveCall(now, inv, out)
 }
 
+// resume is a run back on the cores; its time at the call is not core time.
+func (b *Backend) resume(inv *invocation) {
+	inv.phase, inv.attempts = running, 0
+	inv.began += b.coreTime - inv.leftAt
+}
+
 // leaveCall gives up on a call: skipped where allowed, else don't retry or an error.
 func (b *Backend) leaveCall(now Micros, inv *invocation, out []Action) []Action {
 	if inv.op.SkippedValue > 0 {
-		inv.phase, inv.attempts = running, 0
+		b.resume(inv)
 		return append(out, SkipCall{inv.id})
 	}
 	inv.answered = true
@@ -572,7 +605,9 @@
 // reading brings the gauges up to date and answers what can wait no longer.
 func (b *Backend) reading(now Micros, r Reading, out []Action) []Action {
 	cores, span := float64(b.t.Cores), float64(now-b.readAt)
-	b.coreTime += span / max(1, (b.onCores+r.OnCores)/2/cores)
+	share := span / max(1, (b.onCores+r.OnCores)/2/cores)
+	b.coreTime += share
+	b.spent.add(now, share*float64(b.count(running)))
 	b.callMean.add(now, float64(b.count(calling)+len(b.lingering))*span)
 	b.readAt, b.coreUse, b.onCores = now, r.CoreUse, r.OnCores
 	if r.OnCores < 0 {
--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -141,3 +141,16 @@
 	tr.do(CallReturned{"d", Unreachable, 1000})
 	tr.check()
 }
+
+// A server on which nothing ends any more must not go on as in better times.
+func TestWorkThatHangsIsNoticed(t *testing.T) {
+	tr := newTrace(t, nil)
+	for n := range 3 {
+		tr.arrive(fmt.Sprint("inv", n), 0, 0.9)
+	}
+	tr.pass(1500, 1, 3)
+	tr.note("nothing has ended for long; what is sent next, and what waited unread, is told so")
+	tr.arrive("next", 0, 0.9)
+	tr.arrive("unread", 0, 0.9, func(a *Arrived) { a.Waited = 900_000 })
+	tr.check()
+}
