Let the gate act only while both gauges show busy cores

Cause: momentary crowds on servers with a fifth of their cores idle throttled low ranks. The check for what cannot end in time now looks at the run queue alone, so that servers where work hangs keep throttling.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -254,7 +254,7 @@
 	}
 
 	// The gate: the smoothed run queue against the threshold of this rank, on busy cores.
-	if b.busy() && (b.pressure() > b.threshold(now, inv.rank) || b.hopeless(now, inv)) {
+	if b.busy() && b.pressure() > b.threshold(now, inv.rank) || b.crowded() && b.hopeless(now, inv) {
 		return b.throttle(now, inv, out)
 	}
 
@@ -278,10 +278,11 @@
 	return out
 }
 
-// busy: the gauge of the cores, or more on them than they are.
-func (b *Backend) busy() bool {
-	return b.coreUse >= busyShare || b.onCores+b.begun >= float64(b.t.Cores)
-}
+// busy: by their gauge of late, and as many wanting one as there are.
+func (b *Backend) busy() bool { return b.coreUse >= busyShare && b.crowded() }
+
+// crowded: at least as many on the cores as there are.
+func (b *Backend) crowded() bool { return b.onCores+b.begun >= float64(b.t.Cores) }
 
 // pressure is the smoothed run queue with what is known to have come and gone since.
 func (b *Backend) pressure() float64 { return b.queue + b.since }
@@ -634,7 +635,7 @@
 			} else {
 				out = b.fail(now, inv, out)
 			}
-		case inv.phase == held && b.busy() && b.hopeless(now, inv):
+		case inv.phase == held && b.crowded() && b.hopeless(now, inv):
 			b.since--
 			out = b.throttle(now, inv, out)
 		}
