Invite elsewhere what even a free core of this backend would not end in time

Departure: the wording skips the retry share only where this backend's own slowness decides. It may send very large work round the fleet once more.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -242,7 +242,7 @@
 		return append(out, Reuse{a.ID})
 	}
 	if late || b.memory() > holdMemory*b.t.MemoryKB {
-		return b.throttle(now, inv, out)
+		return b.throttle(now, inv, out, false)
 	}
 
 	// Beyond its part of a tenant's quota, an invocation ranks as what it is worth.
@@ -254,8 +254,11 @@
 	}
 
 	// The gate: the smoothed run queue against the threshold of this rank, on busy cores.
-	if b.busy() && b.pressure() > b.threshold(now, inv.rank) || b.crowded() && b.hopeless(now, inv) {
-		return b.throttle(now, inv, out)
+	if b.crowded() && b.hopeless(now, inv) {
+		return b.throttle(now, inv, out, b.tooSlow(now, inv))
+	}
+	if b.busy() && b.pressure() > b.threshold(now, inv.rank) {
+		return b.throttle(now, inv, out, false)
 	}
 
 	// Taken: from here on it is remembered, and waits in the short or the long line.
@@ -268,7 +271,7 @@
 			b.kept[inv.id] = &entry{until: now + span, kb: b.t.KeyKB}
 			out = append(out, Remember{inv.id, span})
 		} else if op.Repeat == Tokened {
-			return b.throttle(now, inv, out)
+			return b.throttle(now, inv, out, false)
 		}
 	}
 	if a.Tenant < len(b.tenants) {
@@ -334,6 +337,13 @@
 	return now+Micros(ends) > min(inv.wantBy, b.lastCall())
 }
 
+// tooSlow: even a free core here would not end it in time. That is this backend's own trouble
+// and says nothing of the others, so its throttle invites a try elsewhere whatever the share
+// of retries. It may send very large work round the fleet once more.
+func (b *Backend) tooSlow(now Micros, inv *invocation) bool {
+	return now+Micros(b.cost(now, inv)) > inv.wantBy
+}
+
 // lastCall is when everything must be answered before the process is stopped.
 func (b *Backend) lastCall() Micros { return b.stopAt - 3*b.tick }
 
@@ -421,8 +431,8 @@
 }
 
 // throttle turns away what never ran, in words chosen from the recent retry share.
-func (b *Backend) throttle(now Micros, inv *invocation, out []Action) []Action {
-	dont := b.retries.read(now) > retryCut*b.reads.read(now)
+func (b *Backend) throttle(now Micros, inv *invocation, out []Action, ownSlowness bool) []Action {
+	dont := !ownSlowness && b.retries.read(now) > retryCut*b.reads.read(now)
 	out = append(out, Throttle{ID: inv.id, RetryIn: b.stayAway(now, inv), DontRetry: dont})
 	return b.drop(inv, out)
 }
@@ -631,13 +641,13 @@
 		case now+b.tick >= min(inv.due, b.lastCall()):
 			if inv.phase == held {
 				b.since--
-				out = b.throttle(now, inv, out)
+				out = b.throttle(now, inv, out, false)
 			} else {
 				out = b.fail(now, inv, out)
 			}
 		case inv.phase == held && b.crowded() && b.hopeless(now, inv):
 			b.since--
-			out = b.throttle(now, inv, out)
+			out = b.throttle(now, inv, out, b.tooSlow(now, inv))
 		}
 	}
 	return b.advertise(now, out)
