Use less of the share below while calls are slow, and start nothing that waits for them

Also holds against a dependency that is gone, sheds or hangs; may harm where calls differ much in length by themselves.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -43,6 +43,9 @@
 	callAttempts  = 3               // of one invocation
 	callRetryPart = 0.10            // retried calls to first calls
 	callRetryOver = 10_000_000      // measured over this
+	callUsualOver = 60_000_000      // what a call usually takes is learnt over this
+	callLateOver  = 2_000_000       // and over this, what it takes of late
+	callSlowFrom  = 2.0             // times the usual; from here on fewer calls are in hand
 	callWaitCore  = 2.0             // invocations waiting at calls, by core
 	awayLeast     = 50_000          // shortest advice to stay away
 	token         = int64(1)        // of the one timer
@@ -102,7 +105,9 @@
 
 	reads, retries         decaying
 	firstCalls, retryCalls decaying
-	callTook, callsEnded   decaying
+	callTook, callsEnded   decaying // calls that succeeded, over long
+	callSpent, callsLate   decaying // time of all calls, ended or not, and successes, of late
+	callWaited             decaying // the same time with the waits before the calls
 	callMean               decaying
 	lingering              []Micros // when abandoned calls leave the dependency
 
@@ -148,9 +153,11 @@
 		drainAt: never, stopAt: never,
 		reads: decaying{over: retryWindow}, retries: decaying{over: retryWindow},
 		firstCalls: decaying{over: callRetryOver}, retryCalls: decaying{over: callRetryOver},
-		callTook: decaying{over: callRetryOver}, callsEnded: decaying{over: callRetryOver},
-		callMean: decaying{over: float64(max(t.CallsOver, 1))},
-		spent:    decaying{over: dragOver}, earned: decaying{over: dragOver},
+		callTook: decaying{over: callUsualOver}, callsEnded: decaying{over: callUsualOver},
+		callSpent: decaying{over: callLateOver}, callsLate: decaying{over: callLateOver},
+		callWaited: decaying{over: callLateOver},
+		callMean:   decaying{over: float64(max(t.CallsOver/5, 1))},
+		spent:      decaying{over: dragOver}, earned: decaying{over: dragOver},
 	}
 	b.t.Cores = max(t.Cores, 1)
 	b.t.Fleet = max(t.Fleet, 1)
@@ -242,7 +249,7 @@
 		return append(out, Reuse{a.ID})
 	}
 	if late || b.memory() > holdMemory*b.t.MemoryKB {
-		return b.throttle(now, inv, out, false)
+		return b.throttle(now, inv, out, anyones)
 	}
 
 	// Beyond its part of a tenant's quota, an invocation ranks as what it is worth.
@@ -254,11 +261,11 @@
 	}
 
 	// The gate: the smoothed run queue against the threshold of this rank, on busy cores.
-	if b.crowded() && b.hopeless(now, inv) {
-		return b.throttle(now, inv, out, b.tooSlow(now, inv))
+	if b.hopeless(now, inv) {
+		return b.throttle(now, inv, out, b.whose(now, inv))
 	}
 	if b.busy() && b.pressure() > b.threshold(now, inv.rank) {
-		return b.throttle(now, inv, out, false)
+		return b.throttle(now, inv, out, anyones)
 	}
 
 	// Taken: from here on it is remembered, and waits in the short or the long line.
@@ -271,7 +278,7 @@
 			b.kept[inv.id] = &entry{until: now + span, kb: b.t.KeyKB}
 			out = append(out, Remember{inv.id, span})
 		} else if op.Repeat == Tokened {
-			return b.throttle(now, inv, out, false)
+			return b.throttle(now, inv, out, anyones)
 		}
 	}
 	if a.Tenant < len(b.tenants) {
@@ -323,8 +330,11 @@
 // hopeless: with what is held before it and what runs beside it, it ends after its objective.
 // It holds against any cause of slowness; it harms where costs are guessed far too high.
 func (b *Backend) hopeless(now Micros, inv *invocation) bool {
+	if !b.crowded() {
+		return b.callHopeless(now, inv)
+	}
 	cores := float64(b.t.Cores)
-	ahead := 0.0
+	ahead := b.callTime(now, inv.op)
 	for _, other := range b.hand {
 		if other == inv {
 			break
@@ -337,11 +347,32 @@
 	return now+Micros(ends) > min(inv.wantBy, b.lastCall())
 }
 
-// tooSlow: even a free core here would not end it in time. That is this backend's own trouble
-// and says nothing of the others, so its throttle invites a try elsewhere whatever the share
-// of retries. It may send very large work round the fleet once more.
-func (b *Backend) tooSlow(now Micros, inv *invocation) bool {
-	return now+Micros(b.cost(now, inv)) > inv.wantBy
+// callHopeless: the call below would keep it beyond its objective, however free the cores are.
+func (b *Backend) callHopeless(now Micros, inv *invocation) bool {
+	wait := b.callTime(now, inv.op)
+	return wait > 0 && now+Micros(wait+b.cost(now, inv)) > inv.wantBy
+}
+
+// trouble is whose it is when an invocation is throttled.
+type trouble int
+
+const (
+	anyones   trouble = iota // the recent retry share tells
+	ours                     // this backend's alone: others may do better
+	everyones                // of what all backends call
+)
+
+// whose: what even a free core here would not end in time is this backend's own trouble; its
+// throttle invites a try elsewhere whatever the share of retries, and it may send very large
+// work round the fleet once more. What waits too long below is everyone's.
+func (b *Backend) whose(now Micros, inv *invocation) trouble {
+	switch {
+	case b.callHopeless(now, inv):
+		return everyones
+	case now+Micros(b.cost(now, inv)) > inv.wantBy:
+		return ours
+	}
+	return anyones
 }
 
 // lastCall is when everything must be answered before the process is stopped.
@@ -431,9 +462,15 @@
 }
 
 // throttle turns away what never ran, in words chosen from the recent retry share.
-func (b *Backend) throttle(now Micros, inv *invocation, out []Action, ownSlowness bool) []Action {
-	dont := !ownSlowness && b.retries.read(now) > retryCut*b.reads.read(now)
-	out = append(out, Throttle{ID: inv.id, RetryIn: b.stayAway(now, inv), DontRetry: dont})
+func (b *Backend) throttle(now Micros, inv *invocation, out []Action, whose trouble) []Action {
+	told := Throttle{ID: inv.id, RetryIn: b.stayAway(now, inv)}
+	switch whose {
+	case anyones:
+		told.DontRetry = b.retries.read(now) > retryCut*b.reads.read(now)
+	case everyones: // this backend has room for other work
+		told.RetryIn, told.DontRetry = 0, true
+	}
+	out = append(out, told)
 	return b.drop(inv, out)
 }
 
@@ -537,18 +574,40 @@
 	return b.drop(inv, out)
 }
 
+// usualCall is what a call that succeeds takes here.
+func (b *Backend) usualCall(now Micros) float64 {
+	return (b.callTook.read(now) + 1000) / (b.callsEnded.read(now) + 0.01)
+}
+
+// callsSlow is how many times longer than usual calls take of late, those not ended included.
+// A dependency that crowds, hangs or is gone shows here alike. What it holds, abandoned calls
+// too, is what slows it, so the slower it is the less of our share is used. Where calls differ
+// much in length by themselves, some room is given away.
+func (b *Backend) callsSlow(now Micros) float64 {
+	usual := b.usualCall(now)
+	return max(1, (b.callSpent.read(now)+usual)/(b.callsLate.read(now)+1)/usual)
+}
+
+// callTime is how long an invocation is at its call of late, with the wait before it.
+func (b *Backend) callTime(now Micros, op *Operation) float64 {
+	if !op.Calls || op.SkippedValue > 0 {
+		return 0
+	}
+	return (b.callWaited.read(now) + b.usualCall(now)) / (b.callsLate.read(now) + 1)
+}
+
 // calls makes the calls that are waited for, in order, within this backend's share.
 func (b *Backend) calls(now Micros, out []Action) []Action {
 	for len(b.lingering) > 0 && b.lingering[0] <= now {
 		b.lingering = b.lingering[1:]
 	}
 	below := float64(b.count(calling) + len(b.lingering))
+	room := b.t.CallShare * min(1, callSlowFrom/b.callsSlow(now))
 	for _, inv := range b.hand {
 		if inv.phase != atCall || inv.answered || inv.notUntil > now {
 			continue
 		}
-		if b.t.SharedBelow && (below >= max(1, math.Floor(b.t.CallShare)) ||
-			b.callMean.read(now) > 0.9*b.t.CallShare*b.callMean.over) {
+		if b.t.SharedBelow && (below >= max(1, math.Floor(room)) || b.callMean.read(now) > 0.9*room*b.callMean.over) {
 			break
 		}
 		if inv.attempts == 0 {
@@ -561,7 +620,7 @@
 		below++
 		within := min(inv.due, b.lastCall()) - now
 		if ended := b.callsEnded.read(now); ended > 0 {
-			within = min(within, Micros(8*b.callTook.read(now)/ended)+inv.op.Objective/8)
+			within = min(within, Micros(8*b.usualCall(now))+inv.op.Objective/8)
 		}
 		out = append(out, Call{ID: inv.id, Within: max(within, 1000)})
 	}
@@ -577,6 +636,7 @@
 	case OK:
 		b.callTook.add(now, float64(e.Took))
 		b.callsEnded.add(now, 1)
+		b.callsLate.add(now, 1)
 		b.resume(inv)
 		return out
 	case TimedOut:
@@ -608,7 +668,7 @@
 	}
 	inv.answered = true
 	if inv.op.Repeat == Idempotent {
-		return append(out, Throttle{ID: inv.id, RetryIn: b.stayAway(now, inv), DontRetry: true})
+		return append(out, Throttle{ID: inv.id, DontRetry: true})
 	}
 	return append(out, Fail{inv.id})
 }
@@ -620,6 +680,8 @@
 	b.coreTime += share
 	b.spent.add(now, share*float64(b.count(running)))
 	b.callMean.add(now, float64(b.count(calling)+len(b.lingering))*span)
+	b.callSpent.add(now, float64(b.count(calling))*span)
+	b.callWaited.add(now, float64(b.count(calling)+b.count(atCall))*span)
 	b.readAt, b.coreUse, b.onCores = now, r.CoreUse, r.OnCores
 	if r.OnCores < 0 {
 		b.onCores = float64(b.count(running))
@@ -641,13 +703,13 @@
 		case now+b.tick >= min(inv.due, b.lastCall()):
 			if inv.phase == held {
 				b.since--
-				out = b.throttle(now, inv, out, false)
+				out = b.throttle(now, inv, out, anyones)
 			} else {
 				out = b.fail(now, inv, out)
 			}
-		case inv.phase == held && b.crowded() && b.hopeless(now, inv):
+		case inv.phase == held && b.hopeless(now, inv):
 			b.since--
-			out = b.throttle(now, inv, out, b.tooSlow(now, inv))
+			out = b.throttle(now, inv, out, b.whose(now, inv))
 		}
 	}
 	return b.advertise(now, out)
--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -162,3 +162,30 @@
 	tr.arrive("unread", 0, 0.5, func(a *Arrived) { a.Waited = 700_000 })
 	tr.check()
 }
+
+// A dependency that stops answering must not take the runs, nor be crowded further.
+func TestSlowDependency(t *testing.T) {
+	tr := newTrace(t, func(t *Terms) {
+		t.SharedBelow, t.CallShare, t.Cores = true, 2, 4
+		t.Operations[2] = Operation{Objective: 2_000_000, ClientTimeout: 5_000_000}
+	})
+	for n := range 3 {
+		id := fmt.Sprint("usual", n)
+		tr.arrive(id, 0, 0.9)
+		tr.do(NeedsCall{id})
+		tr.pass(40, 0.3, 1)
+		tr.do(CallReturned{id, OK, 40_000})
+		tr.done(id, OK)
+	}
+	for n := range 3 {
+		id := fmt.Sprint("stuck", n)
+		tr.arrive(id, 0, 0.9)
+		tr.do(NeedsCall{id})
+	}
+	tr.pass(800, 0.1, 0)
+	tr.note("what calls is not taken now, what does not is; a returned call makes no room for the third")
+	tr.arrive("calls", 0, 0.9)
+	tr.arrive("does not call", 2, 0.9)
+	tr.do(CallReturned{"stuck0", Full, 300_000})
+	tr.check()
+}
