Divide the free value by how much longer runs take of late

Also holds for any server slower than its own past; may harm where work grows heavy everywhere at once, for then all ask for less.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -728,9 +728,9 @@
 			value = min(0.95, max(0, (b.pressure()-cores)/(top-cores)))
 		}
 	case CallerAllowance:
-		value = cores * topPerCore / float64(b.t.Callers) * min(1, runPerCore/max(load, 0.1))
+		value = cores * topPerCore / float64(b.t.Callers) * min(1, runPerCore/max(load, 0.1)) / b.drag(now)
 	case TrafficWeight:
-		value = max(0.05, min(1, runPerCore/max(load, 0.1)))
+		value = max(0.05, min(1, runPerCore/max(load, 0.1))/b.drag(now))
 	}
 	if math.Abs(value-b.value) < 0.05*max(value, b.value) {
 		return out
