--- a/admit/admit.go
+++ b/admit/admit.go
@@ -30,7 +30,7 @@
 	smoothing     = 100_000         // time constant of the run queue
 	lowPerCore    = 1.0             // threshold of the lowest rank
 	topPerCore    = 2.5             // threshold of the highest rank
-	runPerCore    = 1.5             // runs wanted on the cores
+	runPerCore    = 1.1             // runs wanted on the cores
 	busyShare     = 0.85            // cores count as busy from here on
 	crowdSafety   = 0.85            // part of the survivable crowd ever used
 	startMemory   = 0.80            // no start beyond this part of memory
@@ -362,14 +362,15 @@
 	everyones                // of what all backends call
 )
 
-// whose: what even a free core here would not end in time is this backend's own trouble; its
-// throttle invites a try elsewhere whatever the share of retries, and it may send very large
-// work round the fleet once more. What waits too long below is everyone's.
+// whose: what would end in time at the usual pace is this backend's own trouble; the recent
+// retries say nothing of that, so its throttle invites a try elsewhere whatever their share.
+// What waits too long below is everyone's.
 func (b *Backend) whose(now Micros, inv *invocation) trouble {
+	left := float64(inv.wantBy - now)
 	switch {
 	case b.callHopeless(now, inv):
 		return everyones
-	case now+Micros(b.cost(now, inv)) > inv.wantBy:
+	case b.cost(now, inv) > left && b.cost(now, inv)/b.drag(now) <= left:
 		return ours
 	}
 	return anyones
