--- a/admit/admit.go
+++ b/admit/admit.go
@@ -116,6 +116,7 @@
 	coreUse  float64
 	spent    decaying // core time of all runs, ended or not
 	earned   decaying // what the runs that ended were expected to cost
+	ended    decaying // how many they were
 	queue    float64  // the smoothed run queue, waiting invocations included
 	since    float64  // admitted less ended since that reading
 	begun    float64  // started less ended since that reading
@@ -157,7 +158,7 @@
 		callSpent: decaying{over: callLateOver}, callsLate: decaying{over: callLateOver},
 		callWaited: decaying{over: callLateOver},
 		callMean:   decaying{over: float64(max(t.CallsOver/5, 1))},
-		spent:      decaying{over: dragOver}, earned: decaying{over: dragOver},
+		spent:      decaying{over: dragOver}, earned: decaying{over: dragOver}, ended: decaying{over: dragOver},
 	}
 	b.t.Cores = max(t.Cores, 1)
 	b.t.Fleet = max(t.Fleet, 1)
@@ -485,8 +486,9 @@
 	if b.drainAt != never {
 		return b.t.MaxRetryAfter
 	}
-	excess := max(1, b.pressure()-b.threshold(now, inv.rank))
-	away := excess * b.cost(now, inv) / float64(b.t.Cores) * (0.75 + 0.5*b.random())
+	excess := max(1, b.pressure()-b.threshold(now, inv.rank)) / float64(b.t.Cores)
+	usual := (b.earned.read(now) + b.cost(now, inv)) / (b.ended.read(now) + 1)
+	away := excess * usual * b.drag(now) * (0.75 + 0.5*b.random())
 	return min(max(Micros(away), inv.unread, awayLeast), b.t.MaxRetryAfter)
 }
 
@@ -564,6 +566,7 @@
 			expected = min(expected, had) // it may have been cut short
 		}
 		b.earned.add(now, expected)
+		b.ended.add(now, 1)
 	}
 	if e.Outcome == Canceled && !inv.answered {
 		out = append(out, Fail{inv.id})
