--- a/admit/admit.go
+++ b/admit/admit.go
@@ -15,11 +15,12 @@
 // sooner when cold), share (calls below).
 //
 // Mechanisms beside the design, six at most:
-//  1. hopeless: what cannot meet its latency objective on busy cores is throttled at once
-//  2. lines: a short and a long line, by response ratio, run while the cores have room
-//  3. share of a tenant: beyond its part of the quota an invocation ranks as what it is worth
-//  4. stay away: a throttle says when the excess will have drained; the free value says the same
-//  5. stop: running work that nobody waits for is stopped where that is possible
+//  1. hopeless: what cannot meet its latency objective is throttled at once
+//  2. whose: own trouble and trouble below word a throttle in place of the retry share
+//  3. next: a short and a long line, by response ratio, run while the cores have room
+//  4. tenants: beyond its part of the quota an invocation ranks as what it is worth
+//  5. stayAway: a throttle says when the excess will have drained; the free value says the same
+//  6. callsSlow: the slower calls below are, the fewer are in hand
 
 import "math"
 
