--- a/admit/admit.go
+++ b/admit/admit.go
@@ -350,9 +350,10 @@
 }
 
 // callHopeless: the call below would keep it beyond its objective, however free the cores are.
+// Long work must not pass for a slow call, so at most half of the time left is set aside for it.
 func (b *Backend) callHopeless(now Micros, inv *invocation) bool {
-	wait := b.callTime(now, inv.op)
-	return wait > 0 && now+Micros(wait+b.cost(now, inv)) > inv.wantBy
+	left := max(0, float64(inv.wantBy-now))
+	return b.callTime(now, inv.op) > left-min(b.cost(now, inv), left/2)
 }
 
 // trouble is whose it is when an invocation is throttled.
@@ -737,7 +738,7 @@
 	case TrafficWeight:
 		value = max(0.05, min(1, runPerCore/max(load, 0.1))/b.drag(now))
 	}
-	if math.Abs(value-b.value) < 0.05*max(value, b.value) {
+	if math.Abs(value-b.value) <= 0.05*max(value, b.value) {
 		return out
 	}
 	b.value = value
