--- a/admit/admit.go
+++ b/admit/admit.go
@@ -41,6 +41,7 @@
 	dragPrior     = 100_000         // core time, by core, that speaks for no change
 	tenantOver    = 2_000_000       // a tenant's rate is measured over this
 	tenantSlack   = 1.2             // uneven callers: part of the quota over an even part
+	shareRank     = 0.3             // work within a share ranks above this, work beyond it below
 	callAttempts  = 3               // of one invocation
 	callRetryPart = 0.10            // retried calls to first calls
 	callRetryOver = 10_000_000      // measured over this
@@ -258,7 +259,9 @@
 	if a.Tenant < len(b.tenants) && b.t.QuotaPerSecond[a.Tenant] > 0 {
 		part := b.t.QuotaPerSecond[a.Tenant] / float64(b.t.Fleet) * tenantSlack
 		if b.tenants[a.Tenant].read(now) >= part*tenantOver/1e6 {
-			inv.rank *= b.t.OverShareValue
+			inv.rank *= shareRank * b.t.OverShareValue
+		} else {
+			inv.rank = shareRank + (1-shareRank)*inv.rank
 		}
 	}
 
--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -189,3 +189,18 @@
 	tr.do(CallReturned{"stuck0", Full, 300_000})
 	tr.check()
 }
+
+// What a tenant sends beyond its part of the quota gives way to anyone's work within it.
+func TestTenantBeyondItsShare(t *testing.T) {
+	tr := newTrace(t, func(t *Terms) { t.QuotaPerSecond, t.OverShareValue = []float64{8, 8}, 0.05 })
+	for n := range 6 {
+		id := fmt.Sprint("first", n)
+		tr.arrive(id, 0, 0.5)
+		tr.done(id, OK)
+	}
+	tr.pass(400, 1, 2.4)
+	tr.note("the first tenant has had its part; even its best waits for the other's least")
+	tr.arrive("best of the first", 0, 0.99)
+	tr.arrive("least of the second", 0, 0.01, func(a *Arrived) { a.Tenant = 1 })
+	tr.check()
+}
