Leave tenants three fifths of slack over an even part of their quota

Cause: callers spread a tenant unevenly over the backends, and at a fifth of slack work within the share was ranked as excess here while the same tenant was below its part elsewhere.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -40,7 +40,7 @@
 	dragOver      = 2_000_000       // and over this, whether runs get on as they did
 	dragPrior     = 100_000         // core time, by core, that speaks for no change
 	tenantOver    = 2_000_000       // a tenant's rate is measured over this
-	tenantSlack   = 1.2             // uneven callers: part of the quota over an even part
+	tenantSlack   = 1.6             // uneven callers: part of the quota over an even part
 	shareRank     = 0.3             // work within a share ranks above this, work beyond it below
 	callAttempts  = 3               // of one invocation
 	callRetryPart = 0.10            // retried calls to first calls
