Let the cut of the retry share rise with rank, to 0.3

Cause: the wording was one for all ranks, though a rank that other backends admit longer is less likely to meet the same refusal there; a crowded server kept what matters most from idle ones. May harm where high ranks are most of the load: they go round more often.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -28,6 +28,7 @@
 	tickMost      = 20_000          // gauges are read at least this often
 	retryWindow   = 4_000_000       // the recent past of the retry share
 	retryCut      = 0.10            // the source's retry budget
+	retryCutTop   = 0.30            // the same for the highest rank
 	smoothing     = 100_000         // time constant of the run queue
 	lowPerCore    = 1.0             // threshold of the lowest rank
 	topPerCore    = 2.5             // threshold of the highest rank
@@ -473,7 +474,8 @@
 	told := Throttle{ID: inv.id, RetryIn: b.stayAway(now, inv)}
 	switch whose {
 	case anyones:
-		told.DontRetry = b.retries.read(now) > retryCut*b.reads.read(now)
+		cut := retryCut + (retryCutTop-retryCut)*inv.rank
+		told.DontRetry = b.retries.read(now) > cut*b.reads.read(now)
 	case everyones: // this backend has room for other work
 		told.RetryIn, told.DontRetry = 0, true
 	}
