Let a tenant's part grow with what this backend admits

Now the excess is what goes beyond its part of all admitted here, too. Holds for any uneven spread; a backend that only one tenant uses lets it have all.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -256,10 +256,16 @@
 		return b.throttle(now, inv, out, anyones)
 	}
 
-	// Beyond its part of a tenant's quota, an invocation ranks as what it is worth.
+	// Beyond its part of a tenant's quota, an invocation ranks as what it is worth. Where a
+	// backend gets more than an even part of all traffic, the parts grow with what it admits.
 	if a.Tenant < len(b.tenants) && b.t.QuotaPerSecond[a.Tenant] > 0 {
-		part := b.t.QuotaPerSecond[a.Tenant] / float64(b.t.Fleet) * tenantSlack
-		if b.tenants[a.Tenant].read(now) >= part*tenantOver/1e6 {
+		total, quotas := 0.0, 0.0
+		for n := range b.tenants {
+			total, quotas = total+b.tenants[n].read(now), quotas+b.t.QuotaPerSecond[n]
+		}
+		quota := b.t.QuotaPerSecond[a.Tenant]
+		even := quota / float64(b.t.Fleet) * tenantSlack * tenantOver / 1e6
+		if b.tenants[a.Tenant].read(now) >= max(even, total*quota/quotas) {
 			inv.rank *= shareRank * b.t.OverShareValue
 		} else {
 			inv.rank = shareRank + (1-shareRank)*inv.rank
