Answer health checks with bad while full cores read and end nothing

Also holds against stalled disks and hung work; may harm where a few cores run very long work one after the other, so the wait is four usual runs at least.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -51,6 +51,9 @@
 	callSlowFrom  = 2.0             // times the usual; from here on fewer calls are in hand
 	callWaitCore  = 2.0             // invocations waiting at calls, by core
 	awayLeast     = 50_000          // shortest advice to stay away
+	stuckLeast    = 1_000_000       // full cores that read and end nothing for so long are stuck
+	stuckCosts    = 4               // or for so many usual runs, if that is longer
+	stuckFor      = 3_000_000       // a backend that was stuck is not healthy for so long after
 	token         = int64(1)        // of the one timer
 	never         = Micros(1 << 60) // no such time
 )
@@ -125,6 +128,9 @@
 	begun    float64  // started less ended since that reading
 	coreTime float64  // time that one run among those present has had on a core
 	value    float64  // the free value last sent
+	moved    Micros   // when something was last read or ended
+	sickTill Micros
+	healthy  bool // as last sent
 }
 
 // decaying is a sum that forgets with time constant over.
@@ -188,7 +194,7 @@
 func (b *Backend) Decide(now Micros, ev Event, out []Action) []Action {
 	switch e := ev.(type) {
 	case Opened:
-		b.opened, b.readAt, b.nextAt = now, now, now+b.tick
+		b.opened, b.readAt, b.nextAt, b.moved, b.healthy = now, now, now+b.tick, now, true
 		return append(out, SetHealth{Good: true, FromStore: true}, Wake{At: b.nextAt, Token: token})
 	case Arrived:
 		out = b.arrive(now, e, out)
@@ -207,7 +213,7 @@
 		out = b.returned(now, e, out)
 	case DrainNotice:
 		b.drainAt, b.stopAt = now, now+e.Left
-		out = append(out, SetHealth{Good: false, FromStore: true})
+		out = b.health(now, out)
 	case Reading:
 		if now < b.nextAt {
 			return out // a timer of another life
@@ -220,6 +226,7 @@
 
 // arrive is the ordinary path of an invocation, from the count of its mark to its line.
 func (b *Backend) arrive(now Micros, a Arrived, out []Action) []Action {
+	b.moved = now
 	b.reads.add(now, 1)
 	if a.Retry {
 		b.retries.add(now, 1)
@@ -562,6 +569,7 @@
 	if inv == nil {
 		return out
 	}
+	b.moved = now
 	if inv.phase == calling {
 		b.lingering = append(b.lingering, now+b.t.Linger)
 	}
@@ -729,7 +737,23 @@
 			out = b.throttle(now, inv, out, b.whose(now, inv))
 		}
 	}
-	return b.advertise(now, out)
+	return b.advertise(now, b.health(now, out))
+}
+
+// health: a backend whose full cores have read and ended nothing for long tells who checks to
+// pass it by; no other answer gets out of it. It guards against machines that stall, crawl or
+// lose their disk, and acts late on purpose: an overload that moves is not sickness, and
+// backends that all went unhealthy together would leave nobody.
+func (b *Backend) health(now Micros, out []Action) []Action {
+	usual := b.earned.read(now) / max(b.ended.read(now), 0.01)
+	if b.crowded() && now > b.moved+max(stuckLeast, Micros(stuckCosts*usual)) {
+		b.sickTill = now + stuckFor
+	}
+	if good := now >= b.sickTill && b.drainAt == never; good != b.healthy {
+		b.healthy = good
+		out = append(out, SetHealth{Good: good, FromStore: true})
+	}
+	return out
 }
 
 // advertise sends the free value, in the meaning that callers here give to it.
--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -204,3 +204,21 @@
 	tr.arrive("least of the second", 0, 0.01, func(a *Arrived) { a.Tenant = 1 })
 	tr.check()
 }
+
+// A machine that reads and ends nothing on full cores must tell who checks its health.
+func TestStuckBackendIsNotHealthy(t *testing.T) {
+	tr := newTrace(t, nil)
+	tr.note("idle, it is healthy however long nothing happens")
+	tr.pass(3000, 0, 0)
+	for n := range 2 {
+		tr.arrive(fmt.Sprint("inv", n), 0, 0.9)
+	}
+	tr.pass(2000, 1, 2)
+	tr.note("it moves again, and is healthy some time after; a draining one never is")
+	tr.done("inv0", OK)
+	tr.pass(4000, 0.5, 1)
+	tr.do(DrainNotice{Left: 9_000_000})
+	tr.done("inv1", OK)
+	tr.pass(4000, 0.5, 1)
+	tr.check()
+}
