--- a/admit/admit.go
+++ b/admit/admit.go
@@ -22,7 +22,10 @@
 //  5. stayAway: a throttle says when the excess will have drained; the free value says the same
 //  6. callsSlow: the slower calls below are, the fewer are in hand
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 const (
 	tickMost      = 20_000          // gauges are read at least this often
@@ -38,16 +41,14 @@
 	startMemory   = 0.80            // no start beyond this part of memory
 	holdMemory    = 0.90            // no invocation held beyond it
 	paceOver      = 20_000_000      // what an operation costs here is learnt over this
-	dragOver      = 2_000_000       // and over this, whether runs get on as they did
+	lately        = 2_000_000       // and over this, whether runs, calls and tenants are as they were
 	dragPrior     = 100_000         // core time, by core, that speaks for no change
-	tenantOver    = 2_000_000       // a tenant's rate is measured over this
 	tenantSlack   = 1.6             // uneven callers: part of the quota over an even part
 	shareRank     = 0.3             // work within a share ranks above this, work beyond it below
 	callAttempts  = 3               // of one invocation
 	callRetryPart = 0.10            // retried calls to first calls
 	callRetryOver = 10_000_000      // measured over this
 	callUsualOver = 60_000_000      // what a call usually takes is learnt over this
-	callLateOver  = 2_000_000       // and over this, what it takes of late
 	callSlowFrom  = 2.0             // times the usual; from here on fewer calls are in hand
 	callWaitCore  = 2.0             // invocations waiting at calls, by core
 	awayLeast     = 50_000          // shortest advice to stay away
@@ -84,13 +85,14 @@
 	notUntil Micros  // the next call
 	began    float64 // coreTime at the start of the run
 	leftAt   float64 // coreTime when it left the cores for a call
+	taken    bool    // past the gate
 	answered bool    // nothing is owed; it only leaves the cores
 	stopped  Micros  // when a stop was last asked for
 }
 
+// entry is a remembered invocation.
 type entry struct {
 	until Micros
-	kb    float64
 	ran   bool
 }
 
@@ -140,6 +142,8 @@
 	over float64
 }
 
+func over(span Micros) decaying { return decaying{over: float64(span)} }
+
 func (d *decaying) read(now Micros) float64 {
 	if now > d.at {
 		d.sum *= math.Exp(-float64(now-d.at) / d.over)
@@ -161,23 +165,22 @@
 		t: t, chance: seed, byID: map[string]*invocation{}, kept: map[string]*entry{},
 		paces: make([]pace, len(t.Operations)), tenants: make([]decaying, len(t.QuotaPerSecond)),
 		drainAt: never, stopAt: never,
-		reads: decaying{over: retryWindow}, retries: decaying{over: retryWindow},
-		firstCalls: decaying{over: callRetryOver}, retryCalls: decaying{over: callRetryOver},
-		callTook: decaying{over: callUsualOver}, callsEnded: decaying{over: callUsualOver},
-		callSpent: decaying{over: callLateOver}, callsLate: decaying{over: callLateOver},
-		callWaited: decaying{over: callLateOver},
-		callMean:   decaying{over: float64(max(t.CallsOver/5, 1))},
-		spent:      decaying{over: dragOver}, earned: decaying{over: dragOver}, ended: decaying{over: dragOver},
+		reads: over(retryWindow), retries: over(retryWindow),
+		firstCalls: over(callRetryOver), retryCalls: over(callRetryOver),
+		callTook: over(callUsualOver), callsEnded: over(callUsualOver),
+		callSpent: over(lately), callsLate: over(lately), callWaited: over(lately),
+		callMean: over(max(t.CallsOver/5, 1)),
+		spent:    over(lately), earned: over(lately), ended: over(lately),
 	}
 	b.t.Cores = max(t.Cores, 1)
 	b.t.Fleet = max(t.Fleet, 1)
 	b.t.Callers = max(t.Callers, 1)
 	b.tick = max(min(tickMost, t.AnswerSlack/3), t.Round, 1000)
 	for n := range b.paces {
-		b.paces[n] = pace{decaying{over: paceOver}, decaying{over: paceOver}}
+		b.paces[n] = pace{over(paceOver), over(paceOver)}
 	}
 	for n := range b.tenants {
-		b.tenants[n].over = tenantOver
+		b.tenants[n] = over(lately)
 	}
 	return b
 }
@@ -205,7 +208,7 @@
 	case NeedsCall:
 		if inv := b.byID[e.ID]; inv != nil && !inv.answered {
 			inv.phase, inv.notUntil, inv.leftAt = atCall, now, b.coreTime
-			if float64(b.count(atCall)) > callWaitCore*float64(b.t.Cores) {
+			if b.count(atCall) > callWaitCore*float64(b.t.Cores) {
 				out = b.leaveCall(now, inv, out)
 			}
 		}
@@ -271,7 +274,7 @@
 			total, quotas = total+b.tenants[n].read(now), quotas+b.t.QuotaPerSecond[n]
 		}
 		quota := b.t.QuotaPerSecond[a.Tenant]
-		even := quota / float64(b.t.Fleet) * tenantSlack * tenantOver / 1e6
+		even := quota / float64(b.t.Fleet) * tenantSlack * lately / 1e6
 		if b.tenants[a.Tenant].read(now) >= max(even, total*quota/quotas) {
 			inv.rank *= shareRank * b.t.OverShareValue
 		} else {
@@ -294,7 +297,7 @@
 			span = b.t.Fresh
 		}
 		if b.memory()+b.t.KeyKB <= holdMemory*b.t.MemoryKB {
-			b.kept[inv.id] = &entry{until: now + span, kb: b.t.KeyKB}
+			b.kept[inv.id] = &entry{until: now + span}
 			out = append(out, Remember{inv.id, span})
 		} else if op.Repeat == Tokened {
 			return b.throttle(now, inv, out, anyones)
@@ -303,6 +306,7 @@
 	if a.Tenant < len(b.tenants) {
 		b.tenants[a.Tenant].add(now, 1)
 	}
+	inv.taken = true
 	b.since++
 	return out
 }
@@ -403,7 +407,7 @@
 func (b *Backend) fill(now Micros, out []Action) []Action {
 	for b.onCores+b.begun < runPerCore*float64(b.t.Cores) {
 		inv := b.next(now)
-		on := float64(b.count(running) + b.count(atCall) + b.count(calling))
+		on := b.count(running, atCall, calling)
 		if inv == nil || on+1 > b.crowd(now) ||
 			b.memory()+inv.kb*(b.t.RunFactor-1) > startMemory*b.t.MemoryKB {
 			break
@@ -428,34 +432,25 @@
 	}
 	var heads [2]*invocation
 	for _, inv := range b.hand {
-		if inv.phase != held {
-			continue
-		}
 		line := 0
 		if b.cost(now, inv)*n > mean {
 			line = 1
 		}
-		if heads[line] == nil {
+		if inv.phase == held && heads[line] == nil {
 			heads[line] = inv
 		}
 	}
-	short, long := heads[0], heads[1]
-	if short == nil || long == nil {
-		if short == nil {
-			return long
-		}
-		return short
-	}
-	if float64(now-long.arrived)/b.cost(now, long) > float64(now-short.arrived)/b.cost(now, short) {
+	ratio := func(inv *invocation) float64 { return float64(now-inv.arrived) / b.cost(now, inv) }
+	if short, long := heads[0], heads[1]; short == nil || long != nil && ratio(long) > ratio(short) {
 		return long
 	}
-	return short
+	return heads[0]
 }
 
-func (b *Backend) count(p phase) int {
-	n := 0
+func (b *Backend) count(phases ...phase) float64 {
+	n := 0.0
 	for _, inv := range b.hand {
-		if inv.phase == p {
+		if slices.Contains(phases, inv.phase) {
 			n++
 		}
 	}
@@ -512,9 +507,13 @@
 	return min(max(Micros(away), inv.unread, awayLeast), b.t.MaxRetryAfter)
 }
 
-// fail answers with an error; what is on the cores stays in hand until it has left them.
+// fail answers with an error.
 func (b *Backend) fail(now Micros, inv *invocation, out []Action) []Action {
-	out = append(out, Fail{inv.id})
+	return b.leave(now, inv, append(out, Fail{inv.id}))
+}
+
+// leave ends what nobody waits for; what is on the cores stays in hand until it has left them.
+func (b *Backend) leave(now Micros, inv *invocation, out []Action) []Action {
 	if inv.phase == held || inv.phase == reusing {
 		return b.drop(inv, out)
 	}
@@ -524,13 +523,11 @@
 
 // drop forgets an invocation that is over; an entry of one that never ran goes too.
 func (b *Backend) drop(inv *invocation, out []Action) []Action {
-	for n, other := range b.hand {
-		if other == inv {
-			b.hand = append(b.hand[:n], b.hand[n+1:]...)
-			break
-		}
-	}
+	b.hand = slices.DeleteFunc(b.hand, func(other *invocation) bool { return other == inv })
 	delete(b.byID, inv.id)
+	if inv.taken {
+		b.since--
+	}
 	if e := b.kept[inv.id]; e != nil && !e.ran {
 		delete(b.kept, inv.id)
 		out = append(out, Forget{inv.id})
@@ -554,14 +551,7 @@
 	if inv == nil {
 		return out
 	}
-	if inv.phase == held || inv.phase == reusing {
-		if inv.phase == held {
-			b.since--
-		}
-		return b.drop(inv, out)
-	}
-	inv.answered = true
-	return b.stop(now, inv, out)
+	return b.leave(now, inv, out)
 }
 
 func (b *Backend) finished(now Micros, e Finished, out []Action) []Action {
@@ -574,7 +564,6 @@
 		b.lingering = append(b.lingering, now+b.t.Linger)
 	}
 	if inv.phase != reusing && inv.phase != held {
-		b.since--
 		b.begun--
 		if inv.phase != running {
 			b.resume(inv)
@@ -626,7 +615,7 @@
 	for len(b.lingering) > 0 && b.lingering[0] <= now {
 		b.lingering = b.lingering[1:]
 	}
-	below := float64(b.count(calling) + len(b.lingering))
+	below := b.count(calling) + float64(len(b.lingering))
 	room := b.t.CallShare * min(1, callSlowFrom/b.callsSlow(now))
 	for _, inv := range b.hand {
 		if inv.phase != atCall || inv.answered || inv.notUntil > now {
@@ -644,7 +633,7 @@
 		inv.phase = calling
 		below++
 		within := min(inv.due, b.lastCall()) - now
-		if ended := b.callsEnded.read(now); ended > 0 {
+		if b.callsEnded.read(now) > 0 {
 			within = min(within, Micros(8*b.usualCall(now))+inv.op.Objective/8)
 		}
 		out = append(out, Call{ID: inv.id, Within: max(within, 1000)})
@@ -703,15 +692,18 @@
 	cores, span := float64(b.t.Cores), float64(now-b.readAt)
 	share := span / max(1, (b.onCores+r.OnCores)/2/cores)
 	b.coreTime += share
-	b.spent.add(now, share*float64(b.count(running)))
-	b.callMean.add(now, float64(b.count(calling)+len(b.lingering))*span)
-	b.callSpent.add(now, float64(b.count(calling))*span)
-	b.callWaited.add(now, float64(b.count(calling)+b.count(atCall))*span)
+	b.spent.add(now, share*b.count(running))
+	b.callMean.add(now, (b.count(calling)+float64(len(b.lingering)))*span)
+	b.callSpent.add(now, b.count(calling)*span)
+	b.callWaited.add(now, b.count(atCall, calling)*span)
 	b.readAt, b.coreUse, b.onCores = now, r.CoreUse, r.OnCores
+	if r.CoreUse < 0 {
+		b.coreUse = 1 // not told: the run queue alone says whether they are busy
+	}
 	if r.OnCores < 0 {
-		b.onCores = float64(b.count(running))
+		b.onCores = b.count(running)
 	}
-	sample := b.onCores + float64(b.count(held))
+	sample := b.onCores + b.count(held)
 	b.queue += b.since // known at once; the rest of the difference is smoothed
 	b.queue += (sample - b.queue) * (1 - math.Exp(-span/smoothing))
 	b.since, b.begun = 0, 0
@@ -721,20 +713,15 @@
 			delete(b.kept, id)
 		}
 	}
-	for _, inv := range append([]*invocation(nil), b.hand...) {
+	for _, inv := range slices.Clone(b.hand) {
+		due := now+b.tick >= min(inv.due, b.lastCall())
 		switch {
 		case inv.answered:
 			out = b.stop(now, inv, out)
-		case now+b.tick >= min(inv.due, b.lastCall()):
-			if inv.phase == held {
-				b.since--
-				out = b.throttle(now, inv, out, anyones)
-			} else {
-				out = b.fail(now, inv, out)
-			}
-		case inv.phase == held && b.hopeless(now, inv):
-			b.since--
+		case inv.phase == held && (due || b.hopeless(now, inv)):
 			out = b.throttle(now, inv, out, b.whose(now, inv))
+		case due:
+			out = b.fail(now, inv, out)
 		}
 	}
 	return b.advertise(now, b.health(now, out))
