Stop running work past an objective without late value on crowded cores

Also holds for stolen cores; may harm nowhere but in the clients' patience, as the answer says don't retry.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -546,6 +546,13 @@
 	return append(out, Stop{inv.id})
 }
 
+// worthless: it runs past its objective, a late answer has no value, and its cores can be
+// freed. It guards against runs that crawl for whatever reason.
+func (b *Backend) worthless(now Micros, inv *invocation) bool {
+	return inv.phase == running && inv.op.Repeat == Idempotent && inv.op.LateValue == 0 &&
+		b.t.Preemption != CannotStop && now > inv.wantBy && b.crowded()
+}
+
 func (b *Backend) gone(now Micros, id string, out []Action) []Action {
 	inv := b.byID[id]
 	if inv == nil {
@@ -722,6 +729,8 @@
 			out = b.throttle(now, inv, out, b.whose(now, inv))
 		case due:
 			out = b.fail(now, inv, out)
+		case b.worthless(now, inv):
+			out = b.leave(now, inv, append(out, Throttle{ID: inv.id, DontRetry: true}))
 		}
 	}
 	return b.advertise(now, b.health(now, out))
--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -222,3 +222,15 @@
 	tr.pass(4000, 0.5, 1)
 	tr.check()
 }
+
+// Runs that crawl past their objective must not hold the cores where they can be stopped.
+func TestWorthlessRunsAreStopped(t *testing.T) {
+	tr := newTrace(t, func(t *Terms) { t.Preemption = StopDiscards })
+	for n := range 2 {
+		tr.arrive(fmt.Sprint("crawls", n), n*2, 0.9)
+	}
+	tr.pass(2100, 1, 2)
+	tr.note("the non-idempotent one goes on to its due time")
+	tr.pass(3000, 1, 2)
+	tr.check()
+}
--- a/admit/trace_test.go
+++ b/admit/trace_test.go
@@ -24,7 +24,7 @@
 func newTrace(t *testing.T, edit func(*Terms)) *trace {
 	terms := Terms{
 		Operations: []Operation{
-			{Objective: 2_000_000, ClientTimeout: 5_000_000, BilledValue: 1, Calls: true},
+			{Objective: 2_000_000, ClientTimeout: 5_000_000, Calls: true},
 			{Objective: 2_000_000, ClientTimeout: 5_000_000, Repeat: Tokened, Window: 4_000_000, Calls: true},
 			{Objective: 2_000_000, ClientTimeout: 5_000_000, Repeat: NonIdempotent, Calls: true},
 		},
--- a/admit/types.go
+++ b/admit/types.go
@@ -57,8 +57,8 @@
 	Objective     Micros  // latency objective: answer wanted by
 	Stretch       float64 // the objective grows by this multiple of the invocation's own work
 	ClientTimeout Micros
-	Window        Micros // how long after arrival a tokened invocation can recur
-	BilledValue   float64
+	Window        Micros  // how long after arrival a tokened invocation can recur
+	LateValue     float64 // share of the billed value left after the objective
 	Calls         bool    // may call below
 	SkippedValue  float64 // share of the billed value left when a call is skipped; 0: skipping not allowed
 }
--- a/wire/settings.go
+++ b/wire/settings.go
@@ -10,7 +10,7 @@
 		DeadlineMs float64 `json:"deadline_ms"`
 		Repeat     string  `json:"repeat"`
 		WindowMs   float64 `json:"window_ms"`
-		Worth      float64 `json:"worth"`
+		LateValue  float64 `json:"late_value"`
 	} `json:"classes"`
 	Projects []struct {
 		QuotaPerS float64 `json:"quota_per_s"`
@@ -82,7 +82,7 @@
 	for n, c := range s.Classes {
 		op := admit.Operation{
 			Repeat: repeats[c.Repeat], Objective: micros(c.AimMs), Stretch: c.AimStretch,
-			ClientTimeout: micros(c.DeadlineMs), Window: micros(c.WindowMs), BilledValue: c.Worth,
+			ClientTimeout: micros(c.DeadlineMs), Window: micros(c.WindowMs), LateValue: c.LateValue,
 		}
 		if n < len(f.ClassCalls) {
 			op.Calls = f.ClassCalls[n]
