--- a/admit/admit.go
+++ b/admit/admit.go
@@ -767,7 +767,7 @@
 	case CallerAllowance:
 		value = cores * topPerCore / float64(b.t.Callers) * min(1, runPerCore/max(load, 0.1)) / b.drag(now)
 	case TrafficWeight:
-		value = max(0.05, min(1, runPerCore/max(load, 0.1))/b.drag(now))
+		value = max(0.05, min(1, busyShare/max(load, 0.1))/b.drag(now))
 	}
 	if math.Abs(value-b.value) <= 0.05*max(value, b.value) {
 		return out
