--- a/admit/admit.go
+++ b/admit/admit.go
@@ -20,7 +20,7 @@
 //  3. next: a short and a long line, by response ratio, run while the cores have room
 //  4. tenants: beyond its part of the quota an invocation ranks as what it is worth
 //  5. stayAway: a throttle says when the excess will have drained; the free value says the same
-//  6. callsSlow: the slower calls below are, the fewer are in hand
+//  6. room: the slower calls below are, the fewer are in hand
 
 import (
 	"math"
@@ -115,7 +115,6 @@
 	firstCalls, retryCalls decaying
 	callTook, callsEnded   decaying // calls that succeeded, over long
 	callSpent, callsLate   decaying // time of all calls, ended or not, and successes, of late
-	callWaited             decaying // the same time with the waits before the calls
 	callMean               decaying
 	lingering              []Micros // when abandoned calls leave the dependency
 
@@ -168,7 +167,7 @@
 		reads: over(retryWindow), retries: over(retryWindow),
 		firstCalls: over(callRetryOver), retryCalls: over(callRetryOver),
 		callTook: over(callUsualOver), callsEnded: over(callUsualOver),
-		callSpent: over(lately), callsLate: over(lately), callWaited: over(lately),
+		callSpent: over(lately), callsLate: over(lately),
 		callMean: over(max(t.CallsOver/5, 1)),
 		spent:    over(lately), earned: over(lately), ended: over(lately),
 	}
@@ -600,21 +599,25 @@
 	return (b.callTook.read(now) + 1000) / (b.callsEnded.read(now) + 0.01)
 }
 
-// callsSlow is how many times longer than usual calls take of late, those not ended included.
-// A dependency that crowds, hangs or is gone shows here alike. What it holds, abandoned calls
-// too, is what slows it, so the slower it is the less of our share is used. Where calls differ
-// much in length by themselves, some room is given away.
-func (b *Backend) callsSlow(now Micros) float64 {
-	usual := b.usualCall(now)
-	return max(1, (b.callSpent.read(now)+usual)/(b.callsLate.read(now)+1)/usual)
+// lateCall is what a call takes of late, those not ended included.
+func (b *Backend) lateCall(now Micros) float64 {
+	return (b.callSpent.read(now) + b.usualCall(now)) / (b.callsLate.read(now) + 1)
 }
 
-// callTime is how long an invocation is at its call of late, with the wait before it.
+// room is the part of our share below that is used: the slower calls are of late against the
+// usual, the less. A dependency that crowds, hangs or is gone shows here alike, and what it
+// holds, abandoned calls too, is what slows it. Where calls differ much in length by
+// themselves, some room is given away.
+func (b *Backend) room(now Micros) float64 {
+	return b.t.CallShare * min(1, callSlowFrom*b.usualCall(now)/b.lateCall(now))
+}
+
+// callTime is how long an invocation would be at its call, with those that wait before it.
 func (b *Backend) callTime(now Micros, op *Operation) float64 {
 	if !op.Calls || op.SkippedValue > 0 {
 		return 0
 	}
-	return (b.callWaited.read(now) + b.usualCall(now)) / (b.callsLate.read(now) + 1)
+	return b.lateCall(now) * (1 + b.count(atCall)/max(1, math.Floor(b.room(now))))
 }
 
 // calls makes the calls that are waited for, in order, within this backend's share.
@@ -623,7 +626,7 @@
 		b.lingering = b.lingering[1:]
 	}
 	below := b.count(calling) + float64(len(b.lingering))
-	room := b.t.CallShare * min(1, callSlowFrom/b.callsSlow(now))
+	room := b.room(now)
 	for _, inv := range b.hand {
 		if inv.phase != atCall || inv.answered || inv.notUntil > now {
 			continue
@@ -702,7 +705,6 @@
 	b.spent.add(now, share*b.count(running))
 	b.callMean.add(now, (b.count(calling)+float64(len(b.lingering)))*span)
 	b.callSpent.add(now, b.count(calling)*span)
-	b.callWaited.add(now, b.count(atCall, calling)*span)
 	b.readAt, b.coreUse, b.onCores = now, r.CoreUse, r.OnCores
 	if r.CoreUse < 0 {
 		b.coreUse = 1 // not told: the run queue alone says whether they are busy
@@ -729,6 +731,8 @@
 			out = b.throttle(now, inv, out, b.whose(now, inv))
 		case due:
 			out = b.fail(now, inv, out)
+		case inv.phase == atCall && now > inv.wantBy:
+			out = b.leaveCall(now, inv, out)
 		case b.worthless(now, inv):
 			out = b.leave(now, inv, append(out, Throttle{ID: inv.id, DontRetry: true}))
 		}
