--- a/admit/admit.go
+++ b/admit/admit.go
@@ -70,24 +70,20 @@
 )
 
 type invocation struct {
-	id       string
-	op       *Operation
-	pace     *pace
-	rank     float64
-	unit     float64 // expected work in the hint's terms
-	kb       float64
-	unread   Micros // it waited so long to be read
-	arrived  Micros
-	wantBy   Micros
-	due      Micros
-	phase    phase
-	attempts int     // calls made
-	notUntil Micros  // the next call
-	began    float64 // coreTime at the start of the run
-	leftAt   float64 // coreTime when it left the cores for a call
-	taken    bool    // past the gate
-	answered bool    // nothing is owed; it only leaves the cores
-	stopped  Micros  // when a stop was last asked for
+	id                   string
+	op                   *Operation
+	pace                 *pace
+	rank, kb             float64
+	unit                 float64 // expected work in the hint's terms
+	arrived, wantBy, due Micros
+	unread               Micros // it waited so long to be read
+	phase                phase
+	attempts             int     // calls made
+	notUntil             Micros  // the next call
+	began, leftAt        float64 // coreTime at the start of the run, and when it left the cores for a call
+	taken                bool    // past the gate
+	answered             bool    // nothing is owed; it only leaves the cores
+	stopped              Micros  // when a stop was last asked for
 }
 
 // entry is a remembered invocation.
@@ -105,11 +101,8 @@
 	kept    map[string]*entry
 	paces   []pace
 	tenants []decaying // admitted invocations of each
-	opened  Micros
-	tick    Micros
-	nextAt  Micros
-	drainAt Micros
-	stopAt  Micros
+
+	opened, tick, nextAt, drainAt, stopAt Micros
 
 	reads, retries         decaying
 	firstCalls, retryCalls decaying
@@ -118,20 +111,16 @@
 	callMean               decaying
 	lingering              []Micros // when abandoned calls leave the dependency
 
-	readAt   Micros  // of the gauges
-	onCores  float64 // at that reading
-	coreUse  float64
-	spent    decaying // core time of all runs, ended or not
-	earned   decaying // what the runs that ended were expected to cost
-	ended    decaying // how many they were
-	queue    float64  // the smoothed run queue, waiting invocations included
-	since    float64  // admitted less ended since that reading
-	begun    float64  // started less ended since that reading
-	coreTime float64  // time that one run among those present has had on a core
-	value    float64  // the free value last sent
-	moved    Micros   // when something was last read or ended
-	sickTill Micros
-	healthy  bool // as last sent
+	readAt           Micros   // of the gauges
+	onCores, coreUse float64  // at that reading
+	queue            float64  // the smoothed run queue, waiting invocations included
+	since, begun     float64  // admitted, and started, less ended since that reading
+	coreTime         float64  // time that one run among those present has had on a core
+	spent            decaying // core time of all runs, ended or not
+	earned, ended    decaying // what the runs that ended were expected to cost, and how many they were
+	moved, sickTill  Micros   // when something was last read or ended; not healthy until
+	healthy          bool     // as last sent
+	value            float64  // the free value last sent
 }
 
 // decaying is a sum that forgets with time constant over.
@@ -171,9 +160,7 @@
 		callMean: over(max(t.CallsOver/5, 1)),
 		spent:    over(lately), earned: over(lately), ended: over(lately),
 	}
-	b.t.Cores = max(t.Cores, 1)
-	b.t.Fleet = max(t.Fleet, 1)
-	b.t.Callers = max(t.Callers, 1)
+	b.t.Cores, b.t.Fleet, b.t.Callers = max(t.Cores, 1), max(t.Fleet, 1), max(t.Callers, 1)
 	b.tick = max(min(tickMost, t.AnswerSlack/3), t.Round, 1000)
 	for n := range b.paces {
 		b.paces[n] = pace{over(paceOver), over(paceOver)}
@@ -203,7 +190,9 @@
 	case Finished:
 		out = b.finished(now, e, out)
 	case CallerGone:
-		out = b.gone(now, e.ID, out)
+		if inv := b.byID[e.ID]; inv != nil {
+			out = b.leave(now, inv, out)
+		}
 	case NeedsCall:
 		if inv := b.byID[e.ID]; inv != nil && !inv.answered {
 			inv.phase, inv.notUntil, inv.leftAt = atCall, now, b.coreTime
@@ -235,8 +224,8 @@
 	}
 	op := &b.t.Operations[a.Operation]
 	inv := &invocation{
-		id: a.ID, op: op, pace: &b.paces[a.Operation], rank: a.Rank, kb: a.KB, unread: a.Waited, arrived: now - a.Waited,
-		unit: 1, due: now + a.Budget,
+		id: a.ID, op: op, pace: &b.paces[a.Operation], rank: a.Rank, kb: a.KB, unit: 1,
+		unread: a.Waited, arrived: now - a.Waited, due: now + a.Budget,
 	}
 	if a.Budget <= 0 {
 		inv.due = max(now, inv.arrived+op.ClientTimeout)
@@ -256,7 +245,7 @@
 	late := inv.arrived > b.drainAt+b.t.DrainGrace || now >= b.lastCall()
 	if a.Earlier != "" && b.ran(a.Earlier, op) {
 		if late || inv.due <= now {
-			return b.fail(now, inv, out)
+			return b.leave(now, inv, append(out, Fail{inv.id}))
 		}
 		inv.phase = reusing
 		return append(out, Reuse{a.ID})
@@ -290,9 +279,9 @@
 	}
 
 	// Taken: from here on it is remembered, and waits in the short or the long line.
-	if op.Repeat == Tokened || (b.t.Fresh > 0 && op.Repeat == Idempotent && a.Keyed && !a.Write) {
+	if fresh := b.t.Fresh > 0 && op.Repeat == Idempotent && a.Keyed && !a.Write; fresh || op.Repeat == Tokened {
 		span := op.Window
-		if op.Repeat == Idempotent {
+		if fresh {
 			span = b.t.Fresh
 		}
 		if b.memory()+b.t.KeyKB <= holdMemory*b.t.MemoryKB {
@@ -460,11 +449,10 @@
 func (b *Backend) memory() float64 {
 	kb := float64(len(b.kept)) * b.t.KeyKB
 	for _, inv := range b.hand {
-		if inv.phase == held || inv.phase == reusing {
-			kb += inv.kb
-		} else {
-			kb += inv.kb * b.t.RunFactor
+		if inv.phase != held && inv.phase != reusing {
+			kb += inv.kb * (b.t.RunFactor - 1)
 		}
+		kb += inv.kb
 	}
 	return kb
 }
@@ -494,9 +482,6 @@
 // this invocation waited to be read: what is sent now would wait as long. Gauges do not show
 // what stands unread before a server that barely reads. On a short pause it may be too long.
 func (b *Backend) stayAway(now Micros, inv *invocation) Micros {
-	if b.t.MaxRetryAfter <= 0 {
-		return 0
-	}
 	if b.drainAt != never {
 		return b.t.MaxRetryAfter
 	}
@@ -506,11 +491,6 @@
 	return min(max(Micros(away), inv.unread, awayLeast), b.t.MaxRetryAfter)
 }
 
-// fail answers with an error.
-func (b *Backend) fail(now Micros, inv *invocation, out []Action) []Action {
-	return b.leave(now, inv, append(out, Fail{inv.id}))
-}
-
 // leave ends what nobody waits for; what is on the cores stays in hand until it has left them.
 func (b *Backend) leave(now Micros, inv *invocation, out []Action) []Action {
 	if inv.phase == held || inv.phase == reusing {
@@ -552,14 +532,6 @@
 		b.t.Preemption != CannotStop && now > inv.wantBy && b.crowded()
 }
 
-func (b *Backend) gone(now Micros, id string, out []Action) []Action {
-	inv := b.byID[id]
-	if inv == nil {
-		return out
-	}
-	return b.leave(now, inv, out)
-}
-
 func (b *Backend) finished(now Micros, e Finished, out []Action) []Action {
 	inv := b.byID[e.ID]
 	if inv == nil {
@@ -631,7 +603,8 @@
 		if inv.phase != atCall || inv.answered || inv.notUntil > now {
 			continue
 		}
-		if b.t.SharedBelow && (below >= max(1, math.Floor(room)) || b.callMean.read(now) > 0.9*room*b.callMean.over) {
+		full := below >= max(1, math.Floor(room)) || b.callMean.read(now) > 0.9*room*b.callMean.over
+		if b.t.SharedBelow && full {
 			break
 		}
 		if inv.attempts == 0 {
@@ -656,14 +629,14 @@
 	if inv == nil || inv.phase != calling {
 		return out
 	}
-	switch e.Outcome {
-	case OK:
+	if e.Outcome == OK {
 		b.callTook.add(now, float64(e.Took))
 		b.callsEnded.add(now, 1)
 		b.callsLate.add(now, 1)
 		b.resume(inv)
 		return out
-	case TimedOut:
+	}
+	if e.Outcome == TimedOut {
 		b.lingering = append(b.lingering, now+b.t.Linger)
 	}
 	inv.phase = atCall
@@ -690,11 +663,10 @@
 		b.resume(inv)
 		return append(out, SkipCall{inv.id})
 	}
-	inv.answered = true
 	if inv.op.Repeat == Idempotent {
-		return append(out, Throttle{ID: inv.id, DontRetry: true})
+		return b.leave(now, inv, append(out, Throttle{ID: inv.id, DontRetry: true}))
 	}
-	return append(out, Fail{inv.id})
+	return b.leave(now, inv, append(out, Fail{inv.id}))
 }
 
 // reading brings the gauges up to date and answers what can wait no longer.
@@ -730,7 +702,7 @@
 		case inv.phase == held && (due || b.hopeless(now, inv)):
 			out = b.throttle(now, inv, out, b.whose(now, inv))
 		case due:
-			out = b.fail(now, inv, out)
+			out = b.leave(now, inv, append(out, Fail{inv.id}))
 		case inv.phase == atCall && now > inv.wantBy:
 			out = b.leaveCall(now, inv, out)
 		case b.worthless(now, inv):
--- a/cmd/wirehost/main_test.go
+++ b/cmd/wirehost/main_test.go
@@ -40,7 +40,8 @@
 	for _, c := range []struct{ in, want string }{
 		{sync + "nonsense\n", "line 2: not a JSON object: invalid character 'o' in literal null (expecting 'u')"},
 		{sync + `{"Launched":{"i":3}}`, "line 2: Launched: unknown message"},
-		{sync + `{"Alarm":{"i":3,"token":"x"}}`, "line 2: Alarm: json: cannot unmarshal string into Go struct field fields.token of type int64"},
+		{sync + `{"Alarm":{"i":3,"token":"x"}}`,
+			"line 2: Alarm: json: cannot unmarshal string into Go struct field fields.token of type int64"},
 		{sync + `{"Alarm":[]}`, "line 2: Alarm: the fields are not an object"},
 		{sync + `{"Done":{"i":3,"req":"0f","state_code":"Fine"}}`, `line 2: Done: unknown state_code "Fine"`},
 		{sync + `{"Done":{"i":3,"req":"0f","state_code":"Ok"}}`, "line 2: Done: instance 3 is not open"},
--- a/wire/settings.go
+++ b/wire/settings.go
@@ -58,7 +58,8 @@
 		"off": admit.CannotStop, "discard": admit.StopDiscards, "freeze": admit.StopPauses,
 	}
 	freeValues = map[string]admit.FreeValue{
-		"off": admit.NoValue, "floor": admit.RankFloor, "allowance": admit.CallerAllowance, "weight": admit.TrafficWeight,
+		"off": admit.NoValue, "floor": admit.RankFloor,
+		"allowance": admit.CallerAllowance, "weight": admit.TrafficWeight,
 	}
 )
 
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -75,7 +75,8 @@
 // codes maps the wire's outcome words.
 var codes = map[string]admit.Outcome{
 	"Ok": admit.OK, "Failed": admit.Errored, "QueueFull": admit.Full, "TimedOut": admit.TimedOut,
-	"ConnectError": admit.Unreachable, "ResetByPeer": admit.Reset, "Canceled": admit.Canceled, "Ignored": admit.Void,
+	"ConnectError": admit.Unreachable, "ResetByPeer": admit.Reset, "Canceled": admit.Canceled,
+	"Ignored": admit.Void,
 }
 
 // micros converts milliseconds, with room to add two of them safely.
