--- a/admit/admit.go
+++ b/admit/admit.go
@@ -32,7 +32,7 @@
 	retryWindow   = 4_000_000       // the recent past of the retry share
 	retryCut      = 0.10            // the source's retry budget
 	retryCutTop   = 0.30            // the same for the highest rank
-	smoothing     = 100_000         // time constant of the run queue
+	smoothing     = 200_000         // time constant of the run queue
 	lowPerCore    = 1.0             // threshold of the lowest rank
 	topPerCore    = 2.5             // threshold of the highest rank
 	runPerCore    = 1.1             // runs wanted on the cores
