Let the lines take what comes back while reading it fills the cores

Departure from quick refusals only while over half of the reads are retries and reading takes over half of the cores; anything still held once it cannot end in time is answered then. Also holds against a server whose reading crawls; may harm where retries are cheap to run and ranks matter, as ranks count less. Wording and stopping of hopeless work now count as one mechanism with it.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -15,11 +15,12 @@
 // sooner when cold), share (calls below).
 //
 // Mechanisms beside the design, six at most:
-//  1. hopeless: what cannot meet its latency objective is throttled at once
-//  2. whose: own trouble and trouble below word a throttle in place of the retry share
+//  1. hopeless: what cannot meet its latency objective is given up at once, on arrival, in line, at a
+//     call or, where it can be stopped, running; whose trouble it is words the throttle
+//  2. deaf: while reading what comes back fills the cores, the lines take what the gate would throttle
 //  3. next: a short and a long line, by response ratio, run while the cores have room
 //  4. tenants: beyond its part of the quota an invocation ranks as what it is worth
-//  5. stayAway: a throttle says when the excess will have drained; the free value says the same
+//  5. stayAway: how long the excess takes to drain; the free value and health answers say the same
 //  6. room: the slower calls below are, the fewer are in hand
 
 import (
@@ -32,6 +33,8 @@
 	retryWindow   = 4_000_000       // the recent past of the retry share
 	retryCut      = 0.10            // the source's retry budget
 	retryCutTop   = 0.30            // the same for the highest rank
+	deafShare     = 0.5             // retry share from which throttles are taken to come back
+	deafCores     = 0.5             // part of the cores that reads, from which it matters
 	smoothing     = 200_000         // time constant of the run queue
 	lowPerCore    = 1.0             // threshold of the lowest rank
 	topPerCore    = 2.5             // threshold of the highest rank
@@ -114,6 +117,7 @@
 	readAt           Micros   // of the gauges
 	onCores, coreUse float64  // at that reading
 	queue            float64  // the smoothed run queue, waiting invocations included
+	readers          float64  // smoothed too: what wants a core without being a run
 	since, begun     float64  // admitted, and started, less ended since that reading
 	coreTime         float64  // time that one run among those present has had on a core
 	spent            decaying // core time of all runs, ended or not
@@ -274,7 +278,7 @@
 	if b.hopeless(now, inv) {
 		return b.throttle(now, inv, out, b.whose(now, inv))
 	}
-	if b.busy() && b.pressure() > b.threshold(now, inv.rank) {
+	if b.busy() && !b.deaf(now) && b.pressure() > b.threshold(now, inv.rank) {
 		return b.throttle(now, inv, out, anyones)
 	}
 
@@ -315,6 +319,12 @@
 	return cores * (lowPerCore + (top-lowPerCore)*rank)
 }
 
+// deaf: most of what is read comes back, whatever throttles say, and reading it fills the cores. Then a throttle on arrival only
+// buys another reading, so what could still end in time alone waits for its chance in the lines.
+func (b *Backend) deaf(now Micros) bool {
+	return b.readers > deafCores*float64(b.t.Cores) && b.retries.read(now) > deafShare*b.reads.read(now)
+}
+
 // crowd is how many runs may be on the cores: a part of what is survived, less while cold.
 func (b *Backend) crowd(now Micros) float64 {
 	speed := 1.0
@@ -347,7 +357,7 @@
 	cores := float64(b.t.Cores)
 	ahead := b.callTime(now, inv.op)
 	for _, other := range b.hand {
-		if other == inv {
+		if other == inv || b.deaf(now) {
 			break
 		}
 		if other.phase == held {
@@ -687,6 +697,7 @@
 	sample := b.onCores + b.count(held)
 	b.queue += b.since // known at once; the rest of the difference is smoothed
 	b.queue += (sample - b.queue) * (1 - math.Exp(-span/smoothing))
+	b.readers += (max(0, b.onCores-b.count(running)) - b.readers) * (1 - math.Exp(-span/lately))
 	b.since, b.begun = 0, 0
 
 	for id, e := range b.kept {
--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -234,3 +234,17 @@
 	tr.pass(3000, 1, 2)
 	tr.check()
 }
+
+// Callers that come back whatever they are told must not fill the cores with reading.
+func TestDeafCallersWaitInLine(t *testing.T) {
+	tr := newTrace(t, nil)
+	tr.pass(6000, 1, 8)
+	tr.note("first tries: throttled on arrival, however full of reading the cores are")
+	tr.arrive("first", 0, 0.1)
+	tr.note("mostly retries: they wait for their chance and are throttled when it is gone")
+	tr.arrive("retry0", 0, 0.1, retry)
+	tr.arrive("retry1", 0, 0.1, retry)
+	tr.arrive("retry2", 0, 0.1, retry)
+	tr.pass(2000, 1, 8)
+	tr.check()
+}
