Do not count reads that come too late as a sign of health

Also holds against a reading backlog of any cause; may harm if a whole fleet falls so far behind at once.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -55,7 +55,7 @@
 	callSlowFrom  = 2.0             // times the usual; from here on fewer calls are in hand
 	callWaitCore  = 2.0             // invocations waiting at calls, by core
 	awayLeast     = 50_000          // shortest advice to stay away
-	stuckLeast    = 1_000_000       // full cores that read and end nothing for so long are stuck
+	stuckLeast    = 1_000_000       // full cores that read nothing in time and end nothing for so long are stuck
 	stuckCosts    = 4               // or for so many usual runs, if that is longer
 	stuckFor      = 3_000_000       // a backend that was stuck is not healthy for so long after
 	token         = int64(1)        // of the one timer
@@ -122,7 +122,7 @@
 	coreTime         float64  // time that one run among those present has had on a core
 	spent            decaying // core time of all runs, ended or not
 	earned, ended    decaying // what the runs that ended were expected to cost, and how many they were
-	moved, sickTill  Micros   // when something was last read or ended; not healthy until
+	moved, sickTill  Micros   // when a read was last in time or a run last ended well; not healthy until
 	healthy          bool     // as last sent
 	value            float64  // the free value last sent
 }
@@ -221,12 +221,14 @@
 
 // arrive is the ordinary path of an invocation, from the count of its mark to its line.
 func (b *Backend) arrive(now Micros, a Arrived, out []Action) []Action {
-	b.moved = now
 	b.reads.add(now, 1)
 	if a.Retry {
 		b.retries.add(now, 1)
 	}
 	op := &b.t.Operations[a.Operation]
+	if a.Waited < op.Objective/2 {
+		b.moved = now
+	}
 	inv := &invocation{
 		id: a.ID, op: op, pace: &b.paces[a.Operation], rank: a.Rank, kb: a.KB, unit: 1,
 		unread: a.Waited, arrived: now - a.Waited, due: now + a.Budget,
@@ -547,7 +549,9 @@
 	if inv == nil {
 		return out
 	}
-	b.moved = now
+	if e.Outcome == OK {
+		b.moved = now
+	}
 	if inv.phase == calling {
 		b.lingering = append(b.lingering, now+b.t.Linger)
 	}
@@ -723,8 +727,8 @@
 	return b.advertise(now, b.health(now, out))
 }
 
-// health: a backend whose full cores have read and ended nothing for long tells who checks to
-// pass it by; no other answer gets out of it. It guards against machines that stall, crawl or
+// health: a backend whose full cores have for long ended no run, and read nothing before half of
+// its objective was gone, tells who checks to pass it by; its other answers come too late. It guards against machines that stall, crawl or
 // lose their disk, and acts late on purpose: an overload that moves is not sickness, and
 // backends that all went unhealthy together would leave nobody.
 func (b *Backend) health(now Micros, out []Action) []Action {
