--- a/admit/admit.go
+++ b/admit/admit.go
@@ -55,6 +55,7 @@
 	callSlowFrom  = 2.0             // times the usual; from here on fewer calls are in hand
 	callWaitCore  = 2.0             // invocations waiting at calls, by core
 	awayLeast     = 50_000          // shortest advice to stay away
+	leastValue    = 0.05            // least weight, and the weight or allowance while stuck
 	stuckLeast    = 1_000_000       // full cores that read nothing in time and end nothing for so long are stuck
 	stuckCosts    = 4               // or for so many usual runs, if that is longer
 	stuckFor      = 3_000_000       // a backend that was stuck is not healthy for so long after
@@ -758,7 +759,10 @@
 	case CallerAllowance:
 		value = cores * topPerCore / float64(b.t.Callers) * min(1, runPerCore/max(load, 0.1)) / b.drag(now)
 	case TrafficWeight:
-		value = max(0.05, min(1, busyShare/max(load, 0.1))/b.drag(now))
+		value = max(leastValue, min(1, busyShare/max(load, 0.1))/b.drag(now))
+	}
+	if now < b.sickTill && b.t.FreeValue != RankFloor {
+		value = leastValue
 	}
 	if math.Abs(value-b.value) <= 0.05*max(value, b.value) {
 		return out
