Answer at once on a drain notice what the next reading would be too late for

Cause: found on rereading; a notice shorter than the time to the next reading left running work unanswered at the stop.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -209,7 +209,7 @@
 		out = b.returned(now, e, out)
 	case DrainNotice:
 		b.drainAt, b.stopAt = now, now+e.Left
-		out = b.health(now, out)
+		out = b.settle(now, b.health(now, out)) // the stop may come before the next reading
 	case Reading:
 		if now < b.nextAt {
 			return out // a timer of another life
@@ -684,7 +684,7 @@
 	return b.leave(now, inv, append(out, Fail{inv.id}))
 }
 
-// reading brings the gauges up to date and answers what can wait no longer.
+// reading brings the gauges up to date.
 func (b *Backend) reading(now Micros, r Reading, out []Action) []Action {
 	cores, span := float64(b.t.Cores), float64(now-b.readAt)
 	share := span / max(1, (b.onCores+r.OnCores)/2/cores)
@@ -710,6 +710,11 @@
 			delete(b.kept, id)
 		}
 	}
+	return b.advertise(now, b.health(now, b.settle(now, out)))
+}
+
+// settle answers what can wait no longer, and what has no hope left.
+func (b *Backend) settle(now Micros, out []Action) []Action {
 	for _, inv := range slices.Clone(b.hand) {
 		due := now+b.tick >= min(inv.due, b.lastCall())
 		switch {
@@ -725,7 +730,7 @@
 			out = b.leave(now, inv, append(out, Throttle{ID: inv.id, DontRetry: true}))
 		}
 	}
-	return b.advertise(now, b.health(now, out))
+	return out
 }
 
 // health: a backend whose full cores have for long ended no run, and read nothing before half of
--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -248,3 +248,14 @@
 	tr.pass(2000, 1, 8)
 	tr.check()
 }
+
+// A notice shorter than the time to the next reading still leaves nothing unanswered.
+func TestShortDrainNotice(t *testing.T) {
+	tr := newTrace(t, nil)
+	for n := range 4 {
+		tr.arrive(fmt.Sprint("inv", n), 0, 0.5)
+	}
+	tr.do(DrainNotice{Left: 10_000})
+	tr.arrive("last", 0, 0.5)
+	tr.check()
+}
