--- /dev/null
+++ b/cmd/milletbarrow/main.go
@@ -0,0 +1,180 @@
+// Command milletbarrow runs one backend.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"milletbarrow/edge"
+	"milletbarrow/farm"
+	"milletbarrow/gate"
+	"milletbarrow/limit"
+	"milletbarrow/roster"
+	"milletbarrow/terms"
+)
+
+func main() {
+	log.SetFlags(log.LstdFlags | log.Lmicroseconds | log.LUTC)
+	config := &cli.StringFlag{
+		Name: "config", Usage: "the configuration `FILE`", Sources: cli.EnvVars("GW_CONFIG"), Required: true,
+	}
+	app := &cli.Command{
+		Name:           "milletbarrow",
+		Usage:          "admission and scheduling for one backend behind other people's balancers",
+		DefaultCommand: "serve",
+		Commands: []*cli.Command{
+			{
+				Name: "serve", Usage: "run a backend until it is told to leave", Flags: []cli.Flag{config},
+				Action: func(ctx context.Context, c *cli.Command) error { return serve(c.String("config")) },
+			},
+			{
+				Name: "check", Usage: "tell whether a configuration can be used, without starting",
+				Flags: []cli.Flag{config},
+				Action: func(ctx context.Context, c *cli.Command) error {
+					b, err := terms.Read(c.String("config"))
+					if err == nil {
+						fmt.Printf("%s: can be used\n", b.Name)
+					}
+					return err
+				},
+			},
+			{
+				Name: "limits", Usage: "print the bounds that follow from a configuration", Flags: []cli.Flag{config},
+				Action: func(ctx context.Context, c *cli.Command) error {
+					b, err := terms.Read(c.String("config"))
+					if err == nil {
+						fmt.Printf("%+v\n", bounds(b))
+					}
+					return err
+				},
+			},
+			{
+				Name: "version", Usage: "print the build",
+				Action: func(context.Context, *cli.Command) error {
+					fmt.Println(version())
+					return nil
+				},
+			},
+		},
+	}
+	if err := app.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "milletbarrow:", err)
+		os.Exit(1)
+	}
+}
+
+func version() string {
+	revision := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				revision = s.Value
+			}
+		}
+	}
+	return fmt.Sprintf("milletbarrow revision %s, %s %s/%s", revision, runtime.Version(), runtime.GOOS, runtime.GOARCH)
+}
+
+func bounds(b *terms.Backend) limit.Bounds {
+	return limit.For(b.Limits.Cores, b.Limits.MemoryMB, b.Limits.Sockets)
+}
+
+// serve wires the parts together and waits for the notice to leave.
+func serve(config string) error {
+	notice := make(chan os.Signal, 1)
+	signal.Notify(notice, syscall.SIGTERM, os.Interrupt)
+	b, err := terms.Read(config)
+	if err != nil {
+		return err
+	}
+	lim := bounds(b)
+	runtime.GOMAXPROCS(lim.Processors)
+	debug.SetMemoryLimit(lim.Heap)
+	debug.SetGCPercent(lim.HeapGrowth)
+
+	g := gate.New(b.Sheet, uint64(b.Seed), lim)
+	link := farm.New(b.Agent, lim, g.Open)
+	server := edge.New(b.Sheet, lim, g, link)
+	reports := roster.New(b.Roster, b.Name, lim)
+	if _, err := server.Listen(b.Listen); err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	log.Printf("event=start name=%s listen=%s processors=%d connections=%d invocations=%d",
+		b.Name, b.Listen, lim.Processors, lim.Connections, lim.Invocations)
+
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go link.Keep(ctx)
+	go reports.Keep(ctx)
+	go g.Beat(ctx.Done(), link.Sample, link.Sampled())
+	go server.Sweep(ctx.Done())
+	go tell(ctx, server, g, lim)
+	broken := make(chan error, 1)
+	go func() { broken <- server.Serve() }()
+
+	select {
+	case <-notice:
+	case err := <-broken:
+		return errors.Join(errors.New("listen: the event loop has ended"), err)
+	}
+	stop := time.Now().Add(time.Duration(b.StopMs * float64(time.Millisecond)))
+	grace := time.Now().Add(time.Duration(b.Sheet.Terms.DrainGrace) * time.Microsecond)
+	log.Printf("event=drain stop_ms=%g in_hand=%d", b.StopMs, g.InHand())
+	g.Drain(terms.Micros(b.StopMs))
+	reports.Off()
+	leave(server, g, grace, stop.Add(-lim.LastWords))
+	return nil
+}
+
+// leave goes on until the grace is over, then takes nothing more, and returns once all is answered and the
+// callers have gone, or at the latest shortly before the stop.
+func leave(server *edge.Server, g *gate.Gate, grace, latest time.Time) {
+	if latest.Before(grace) {
+		grace = latest
+	}
+	time.Sleep(time.Until(grace))
+	server.TurnAway()
+	quiet := 0
+	for time.Now().Before(latest) {
+		conns, _ := server.Counts()
+		if conns == 0 && server.Quiet() {
+			quiet++
+		} else {
+			quiet = 0
+		}
+		if quiet > 3 {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	conns, carried := server.Counts()
+	log.Printf("event=stop connections=%d carried=%d in_hand=%d", conns, carried, g.InHand())
+}
+
+// tell logs the state now and then.
+func tell(ctx context.Context, server *edge.Server, g *gate.Gate, lim limit.Bounds) {
+	every := time.NewTicker(lim.Quiet)
+	defer every.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-every.C:
+		}
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		conns, carried := server.Counts()
+		log.Printf("event=state connections=%d carried=%d in_hand=%d goroutines=%d heap_kb=%d system_kb=%d collections=%d",
+			conns, carried, g.InHand(), runtime.NumGoroutine(), m.HeapAlloc>>10, m.Sys>>10, m.NumGC)
+	}
+}
--- /dev/null
+++ b/edge/server.go
@@ -0,0 +1,265 @@
+// Package edge serves edge nodes: the listener, their connections, the streams on them and health checks.
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log"
+	"net"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"milletbarrow/farm"
+	"milletbarrow/frame"
+	"milletbarrow/gate"
+	"milletbarrow/limit"
+	"milletbarrow/terms"
+)
+
+var (
+	errTooLong   = errors.New("too long for an invocation")
+	errOperation = errors.New("unknown operation")
+	errTenant    = errors.New("unknown tenant")
+)
+
+// Server is all that faces the edge nodes.
+type Server struct {
+	sheet      *terms.Sheet
+	bounds     limit.Bounds
+	gate       *gate.Gate
+	farm       *farm.Link
+	operations map[string]int // number of each name, from 1
+	tenants    map[string]int
+	listener   net.Listener
+	loop       netpoll.EventLoop
+	inHand     atomic.Int64 // goroutines that carry an invocation
+
+	mu       sync.Mutex
+	conns    map[*conn]struct{}
+	draining bool
+	odd      map[string]*oddness
+}
+
+// oddness is what is logged of one kind of odd input: its first few, then a count now and then.
+type oddness struct {
+	count  int
+	logged time.Time
+}
+
+type connKey struct{}
+
+// New makes a server for the terms of the sheet.
+func New(sheet *terms.Sheet, bounds limit.Bounds, g *gate.Gate, f *farm.Link) *Server {
+	s := &Server{
+		sheet: sheet, bounds: bounds, gate: g, farm: f, operations: map[string]int{}, tenants: map[string]int{},
+		conns: map[*conn]struct{}{}, odd: map[string]*oddness{},
+	}
+	for n, name := range sheet.Operations {
+		s.operations[name] = n + 1
+	}
+	for n, name := range sheet.Tenants {
+		s.tenants[name] = n + 1
+	}
+	return s
+}
+
+// Listen opens the address.
+func (s *Server) Listen(address string) (net.Addr, error) {
+	if err := netpoll.Configure(netpoll.Config{PollerNum: 1}); err != nil {
+		return nil, err
+	}
+	l, err := netpoll.CreateListener("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	s.listener = l
+	s.loop, err = netpoll.NewEventLoop(
+		func(ctx context.Context, _ netpoll.Connection) error {
+			ctx.Value(connKey{}).(*conn).read()
+			return nil
+		},
+		netpoll.WithOnPrepare(s.accept),
+		netpoll.WithWriteTimeout(s.bounds.Unread),
+	)
+	return l.Addr(), err
+}
+
+// Serve accepts until the listener is closed.
+func (s *Server) Serve() error { return s.loop.Serve(s.listener) }
+
+func (s *Server) accept(np netpoll.Connection) context.Context {
+	c := &conn{server: s, np: np, open: map[uint32]*stream{}, used: time.Now()}
+	s.mu.Lock()
+	full := len(s.conns) >= s.bounds.Connections
+	if !full {
+		s.conns[c] = struct{}{}
+	}
+	draining := s.draining
+	s.mu.Unlock()
+	ctx := context.WithValue(context.Background(), connKey{}, c)
+	if full {
+		s.oddity("connections", nil)
+		np.Close()
+		return ctx
+	}
+	np.AddCloseCallback(func(netpoll.Connection) error {
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+		c.lost()
+		return nil
+	})
+	if draining {
+		c.askNoMore()
+	}
+	return ctx
+}
+
+// enter counts an invocation in, if there is room for it.
+func (s *Server) enter() bool {
+	if s.inHand.Add(1) > int64(s.bounds.Invocations) {
+		s.inHand.Add(-1)
+		s.oddity("invocations", nil)
+		return false
+	}
+	return true
+}
+
+// carry takes one invocation from its reading to its answer, and its run to its end.
+func (s *Server) carry(c *conn, st *stream, inv gate.Invocation, operation string, body []byte) {
+	defer s.inHand.Add(-1)
+	defer func() {
+		if r := recover(); r != nil {
+			log.Printf("event=fault in=carry id=%s text=%q stack=%q", inv.ID, r, debug.Stack())
+			c.answer(st, frame.Errored, 0, false, nil)
+		}
+	}()
+	word, ticket := s.gate.Pick(inv)
+	if word.Verdict != gate.Run {
+		s.say(c, st, word)
+		return
+	}
+	select {
+	case <-st.left: // before it went out
+		s.gate.Report(ticket, gate.NeverRan)
+		return
+	default:
+	}
+	run := s.farm.Launch(inv.ID, operation, body)
+	left := st.left
+	for {
+		select {
+		case end := <-run.Done():
+			switch owed := s.gate.Report(ticket, end.End); {
+			case owed && end.End == gate.RunSucceeded:
+				c.answer(st, frame.Succeeded, 0, false, end.Result)
+			case owed:
+				c.answer(st, frame.Errored, 0, false, nil)
+			default: // the final word is out already, perhaps just now
+				select {
+				case word := <-ticket.Final():
+					s.say(c, st, word)
+				default:
+				}
+			}
+			return
+		case word := <-ticket.Final(): // the run goes on without anybody waiting for it
+			s.say(c, st, word)
+		case <-left:
+			left = nil
+			s.gate.Report(ticket, gate.CallerLeft)
+		}
+	}
+}
+
+// say passes a final word on.
+func (s *Server) say(c *conn, st *stream, w gate.Word) {
+	switch w.Verdict {
+	case gate.Throttled:
+		c.answer(st, frame.Throttled, w.Away, w.DontRetry, nil)
+	case gate.Errored:
+		c.answer(st, frame.Errored, 0, false, nil)
+	}
+}
+
+func (s *Server) good() bool { return s.gate.Good() && s.farm.Up() }
+
+// oddity logs odd input without letting a peer fill the log.
+func (s *Server) oddity(kind string, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.odd[kind]
+	if o == nil {
+		o = &oddness{}
+		s.odd[kind] = o
+	}
+	o.count++
+	if now := time.Now(); now.Sub(o.logged) >= s.bounds.Quiet {
+		log.Printf("event=odd kind=%s count=%d error=%q", kind, o.count, fmt.Sprint(err))
+		o.count, o.logged = 0, now
+	}
+}
+
+// Sweep asks callers off the connections that rest for longer than the gate wants, until done.
+func (s *Server) Sweep(done <-chan struct{}) {
+	tick := time.NewTicker(s.bounds.Sweep)
+	defer tick.Stop()
+	for {
+		select {
+		case <-done:
+			return
+		case <-tick.C:
+		}
+		if most := s.gate.IdleFor(); most > 0 {
+			for _, c := range s.all() {
+				if since, rests := c.restsSince(); rests && time.Since(since) > most {
+					c.askNoMore()
+				}
+			}
+		}
+	}
+}
+
+func (s *Server) all() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		all = append(all, c)
+	}
+	return all
+}
+
+// Counts tells how many connections are open and how many invocations are carried.
+func (s *Server) Counts() (conns, carried int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns), int(s.inHand.Load())
+}
+
+// TurnAway closes the listener and asks for no more on every connection.
+func (s *Server) TurnAway() {
+	s.mu.Lock()
+	s.draining = true
+	s.mu.Unlock()
+	s.listener.Close()
+	for _, c := range s.all() {
+		c.askNoMore()
+	}
+}
+
+// Quiet tells whether nothing is carried and no answer is still to be written.
+func (s *Server) Quiet() bool {
+	conns := s.all()
+	for _, c := range conns {
+		if _, rests := c.restsSince(); !rests {
+			return false
+		}
+	}
+	return s.inHand.Load() == 0
+}
--- /dev/null
+++ b/farm/link.go
@@ -0,0 +1,336 @@
+// Package farm is the link to the render farm agent: its lines (lines.go) and the one connection that
+// carries them, made anew whenever it is lost, with the runs in hand kept by id.
+package farm
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"sync"
+	"time"
+
+	"milletbarrow/gate"
+	"milletbarrow/limit"
+)
+
+// Run is one run on the farm.
+type Run struct {
+	id, operation string
+	body          []byte
+	done          chan Outcome
+}
+
+// Outcome is how a run ended, with its result.
+type Outcome struct {
+	End    gate.End
+	Result []byte
+}
+
+// Done brings the outcome, once.
+func (r *Run) Done() <-chan Outcome { return r.done }
+
+// Link is the one link to the agent. Its methods never block.
+type Link struct {
+	address string
+	bounds  limit.Bounds
+	greeted func(cold bool, ago gate.Micros)
+	sampled chan []float64
+
+	mu     sync.Mutex
+	wake   *sync.Cond // there is something to write, or the link is over
+	conn   net.Conn
+	out    []byte // to be written
+	runs   map[string]*Run
+	last   uint64 // number of the last notice read
+	synced bool   // all notices from before this link have been read
+	tag    uint64 // of the last sample asked for
+	asked  bool   // and it has not come
+	up     bool
+	faults int
+}
+
+// New makes a link; greeted is called at each greeting.
+func New(address string, bounds limit.Bounds, greeted func(cold bool, ago gate.Micros)) *Link {
+	l := &Link{
+		address: address, bounds: bounds, greeted: greeted, runs: map[string]*Run{}, sampled: make(chan []float64, 1),
+	}
+	l.wake = sync.NewCond(&l.mu)
+	return l
+}
+
+// Launch starts a run. While there is no link it is kept and goes out with the next one.
+func (l *Link) Launch(id, operation string, body []byte) *Run {
+	r := &Run{id: id, operation: operation, body: body, done: make(chan Outcome, 1)}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[id] = r
+	if l.synced {
+		l.send(r)
+	}
+	return r
+}
+
+func (l *Link) send(r *Run) {
+	l.out = appendLaunch(l.out, r.id, r.operation, r.body)
+	l.wake.Signal()
+}
+
+// Sample asks for the gauges, unless there is no link or an answer is still to come.
+func (l *Link) Sample() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.synced && !l.asked {
+		l.ask()
+	}
+}
+
+func (l *Link) ask() {
+	l.tag++
+	l.asked = true
+	l.out = appendSample(l.out, l.tag)
+	l.wake.Signal()
+}
+
+// Sampled brings gauges; only the newest are kept for who comes late.
+func (l *Link) Sampled() <-chan []float64 { return l.sampled }
+
+// Up tells whether runs can be started now.
+func (l *Link) Up() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.synced
+}
+
+// Keep holds the link up until the context ends.
+func (l *Link) Keep(ctx context.Context) {
+	dialer := net.Dialer{Timeout: l.bounds.Dial}
+	pause := l.bounds.RedialLeast
+	for down := false; ctx.Err() == nil; {
+		conn, err := dialer.DialContext(ctx, "tcp", l.address)
+		if err == nil {
+			var greeted bool
+			if greeted, err = l.hold(ctx, conn); greeted {
+				pause, down = l.bounds.RedialLeast, false
+			}
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if !down {
+			log.Printf("event=farm_lost runs=%d reason=%q", l.count(), err)
+			down = true
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
+		pause = min(2*pause, l.bounds.RedialMost)
+	}
+}
+
+func (l *Link) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.runs)
+}
+
+// hold works one connection until it is over.
+func (l *Link) hold(ctx context.Context, conn net.Conn) (greeted bool, err error) {
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	l.mu.Lock()
+	l.conn, l.synced, l.asked = conn, false, false
+	l.out = appendSubscribe(l.out[:0], l.last)
+	l.mu.Unlock()
+	var writer sync.WaitGroup
+	writer.Go(func() { l.write(conn) })
+	greeted, err = l.read(conn)
+	l.mu.Lock()
+	l.conn, l.synced, l.asked = nil, false, false
+	l.wake.Signal()
+	l.mu.Unlock()
+	conn.Close()
+	writer.Wait()
+	return greeted, err
+}
+
+// write sends what gathers, until the link is over.
+func (l *Link) write(conn net.Conn) {
+	var sending []byte
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for {
+		for l.conn == conn && len(l.out) == 0 {
+			l.wake.Wait()
+		}
+		if l.conn != conn {
+			return
+		}
+		sending, l.out = l.out, sending[:0]
+		l.mu.Unlock()
+		_, err := conn.Write(sending)
+		l.mu.Lock()
+		if err != nil {
+			conn.Close() // its reader sees the end
+			return
+		}
+	}
+}
+
+// read takes lines in until the link is over.
+func (l *Link) read(conn net.Conn) (greeted bool, err error) {
+	// Lines are slices of this buffer; it holds the longest line and the longest result.
+	buf := make([]byte, l.bounds.Line+l.bounds.Result+4)
+	var gauges []float64
+	from, to := 0, 0
+	fill := func(least int) error { // until that many bytes stand ready
+		if from+least > len(buf) {
+			to, from = copy(buf, buf[from:to]), 0
+		}
+		for to-from < least {
+			n, err := conn.Read(buf[to:])
+			to += n
+			if err != nil && to-from < least {
+				return err
+			}
+		}
+		return nil
+	}
+	for {
+		line := -1
+		for seen := 0; line < 0; {
+			for ; seen < to-from && line < 0; seen++ {
+				if buf[from+seen] == '\n' {
+					line = seen
+				}
+			}
+			if line >= 0 {
+				break
+			}
+			if to-from > l.bounds.Line {
+				return greeted, errors.New("a line without an end")
+			}
+			if err := fill(to - from + 1); err != nil {
+				return greeted, err
+			}
+		}
+		text := buf[from : from+line]
+		if line == 0 || text[line-1] != '\r' {
+			return greeted, fmt.Errorf("a line that does not end in CR LF: %.40q", text)
+		}
+		n, err := parse(text[:line-1], gauges[:0])
+		if err != nil {
+			l.spoilt(n)
+			return greeted, fmt.Errorf("cannot read %.60q: %w", text[:line-1], err)
+		}
+		var id string
+		if n.kind == outcome || n.kind == refusal {
+			id = string(n.id)
+		}
+		from += line + 1
+		switch n.kind {
+		case greeting:
+			greeted = true
+			log.Printf("event=farm_up cold=%t ago_us=%d", n.cold, n.micros)
+			l.greeted(n.cold, n.micros)
+			l.mu.Lock()
+			l.ask() // its answer follows the notices that were kept for us
+			l.mu.Unlock()
+		case sampled:
+			gauges = n.gauges
+			l.gauge(n)
+		case refusal:
+			log.Printf("event=farm_refusal command=%.20q id=%.20q", n.command, id)
+			if string(n.command) == "launch" {
+				l.over(id, Outcome{End: gate.RunErrored})
+			}
+		case aside:
+			l.mu.Lock()
+			if n.number == l.last+1 {
+				l.last++
+			}
+			l.mu.Unlock()
+		case outcome:
+			end := Outcome{End: n.end}
+			if n.length <= l.bounds.Result {
+				if err := fill(n.length + 2); err != nil {
+					return greeted, err
+				}
+				end.Result = buf[from : from+n.length]
+				from += n.length
+			} else { // more than an answer may hold: it cannot be passed on unchanged
+				log.Printf("event=farm_result_too_long id=%.20q bytes=%d", id, n.length)
+				end.End = gate.RunErrored
+				rest := n.length - (to - from)
+				if from = min(from+n.length, to); rest > 0 {
+					if _, err := io.CopyN(io.Discard, conn, int64(rest)); err != nil {
+						return greeted, err
+					}
+				}
+				if err := fill(2); err != nil {
+					return greeted, err
+				}
+			}
+			if buf[from] != '\r' || buf[from+1] != '\n' {
+				l.spoilt(n)
+				return greeted, fmt.Errorf("result of %d bytes without CR LF", n.length)
+			}
+			from += 2
+			l.mu.Lock()
+			news := n.number > l.last
+			l.last = max(l.last, n.number)
+			l.mu.Unlock()
+			if news {
+				end.Result = append([]byte(nil), end.Result...)
+				l.over(id, end)
+			}
+		}
+	}
+}
+
+// gauge takes a sample; the first of a link tells that what came before it has been read.
+func (l *Link) gauge(n notice) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.asked = false
+	if !l.synced {
+		l.synced = true
+		for _, r := range l.runs { // it is not known which of them the agent has read; known ones do no harm
+			l.send(r)
+		}
+	}
+	select {
+	case <-l.sampled:
+	default:
+	}
+	l.sampled <- append([]float64(nil), n.gauges...)
+}
+
+// spoilt is a notice that cannot be read though its number can: it must not come again with every link, and
+// the run that it ended has no result.
+func (l *Link) spoilt(n notice) {
+	if n.kind != outcome || n.number == 0 {
+		return
+	}
+	l.mu.Lock()
+	news := n.number > l.last
+	l.last = max(l.last, n.number)
+	l.mu.Unlock()
+	if news {
+		l.over(string(n.id), Outcome{End: gate.RunErrored})
+	}
+}
+
+// over ends a run; ends of runs that are not in hand are void.
+func (l *Link) over(id string, end Outcome) {
+	l.mu.Lock()
+	r := l.runs[id]
+	delete(l.runs, id)
+	l.mu.Unlock()
+	if r != nil {
+		r.done <- end
+	}
+}
--- /dev/null
+++ b/gate/gate.go
@@ -0,0 +1,313 @@
+// Package gate is the blocking face of the decision module: pick, report, tick. It holds the one lock, the
+// one clock and all that is known of the invocations in hand; it decides nothing and does no I/O.
+package gate
+
+import (
+	"fmt"
+	"log"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"milletbarrow/admit"
+	"milletbarrow/limit"
+	"milletbarrow/terms"
+)
+
+// Micros is a point of Unix time, or a span, in whole microseconds.
+type Micros = admit.Micros
+
+// Now is the one clock.
+func Now() Micros { return Micros(time.Now().UnixMicro()) }
+
+// Invocation is what a front has read of one.
+type Invocation struct {
+	ID                string
+	Operation, Tenant int
+	Rank, KB          float64
+	Retry, Keyed      bool
+	Work              Micros          // expected; 0 if not told
+	At                Micros          // when it reached the machine
+	Wait              Micros          // its caller waits so long from then
+	Left              <-chan struct{} // closed once its caller is known to have gone
+}
+
+// Verdict is what becomes of an invocation.
+type Verdict int
+
+// The verdicts. Run is the only one that is not final; after Left no answer is owed.
+const (
+	Run Verdict = iota
+	Throttled
+	Errored
+	Left
+)
+
+// Word is a verdict with what the caller is told.
+type Word struct {
+	Verdict   Verdict
+	Away      Micros // stay away from this backend for so long
+	DontRetry bool   // do not try another either
+}
+
+// End is how a run ended, or why it no longer matters.
+type End int
+
+// The ends of a run; CallerLeft is none, the run goes on.
+const (
+	RunSucceeded End = iota
+	RunErrored
+	RunCancelled
+	NeverRan
+	CallerLeft
+)
+
+var outcomes = [...]admit.Outcome{
+	RunSucceeded: admit.OK, RunErrored: admit.Errored, RunCancelled: admit.Canceled, NeverRan: admit.Void,
+}
+
+// Ticket stands for an invocation that Pick lets run.
+type Ticket struct {
+	id       string
+	due      Micros
+	words    chan Word // at most Run and one final word
+	running  bool
+	answered bool // the final word is out, or none is owed
+}
+
+// Final brings the final word, if it comes before the run ends.
+func (t *Ticket) Final() <-chan Word { return t.words }
+
+// Gate serves one backend. Its methods may be called from any goroutine.
+type Gate struct {
+	sheet  *terms.Sheet
+	seed   uint64
+	bounds limit.Bounds
+
+	mu      sync.Mutex
+	backend *admit.Backend // nil until Open
+	hand    map[string]*Ticket
+	acts    []admit.Action
+	wake    Micros
+	token   int64
+	good    bool   // as health checks are to be answered
+	idle    Micros // connections may be idle for so long; 0: as long as the callers like
+	drained bool   // the notice has come
+	gauges  []float64
+	asOf    Micros
+	faults  int
+}
+
+// New makes a gate that throttles everything until Open.
+func New(sheet *terms.Sheet, seed uint64, bounds limit.Bounds) *Gate {
+	return &Gate{sheet: sheet, seed: seed, bounds: bounds, hand: map[string]*Ticket{}}
+}
+
+// Open starts deciding: the farm is there and came up so long ago, cold or warm. Later calls change nothing.
+func (g *Gate) Open(cold bool, ago Micros) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.backend != nil {
+		return
+	}
+	t := g.sheet.Terms
+	t.JustStarted = cold
+	g.backend = admit.New(t, g.seed)
+	g.decide(Now()-ago, admit.Opened{})
+}
+
+// Pick takes an invocation in and blocks until it is to run, or is throttled or errored, or its caller has
+// left. The ticket is nil unless the verdict is Run; then Report must follow once the run has ended.
+func (g *Gate) Pick(inv Invocation) (Word, *Ticket) {
+	t := g.enter(inv)
+	var word Word
+	select {
+	case word = <-t.words:
+	case <-inv.Left:
+		g.Report(t, CallerLeft)
+		word = <-t.words
+	}
+	if word.Verdict != Run {
+		return word, nil
+	}
+	return word, t
+}
+
+func (g *Gate) enter(inv Invocation) *Ticket {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := Now()
+	t := &Ticket{id: inv.ID, due: inv.At + inv.Wait, words: make(chan Word, 2)}
+	switch {
+	case g.hand[inv.ID] != nil: // ids are new with every try; this one is not, and must not end the other
+		t.words <- Word{Verdict: Errored}
+		return t
+	case g.backend == nil:
+		t.words <- Word{Verdict: Throttled}
+		return t
+	}
+	g.hand[inv.ID] = t
+	fault := g.decide(now, admit.Arrived{
+		ID: inv.ID, Operation: inv.Operation, Tenant: inv.Tenant, Rank: inv.Rank, Retry: inv.Retry, Keyed: inv.Keyed,
+		Hint: inv.Work, Waited: max(0, now-inv.At),
+		Budget: max(1, t.due-now), // a wait that is used up is due at once; 0 would mean that none was told
+		KB:     inv.KB,
+	})
+	if fault != nil {
+		g.answer(t, Word{Verdict: Errored})
+	}
+	return t
+}
+
+// Report tells how a run ended, or that the caller left. It returns whether the answer is still owed: if
+// not, it was the final word's or nobody waits for one.
+func (g *Gate) Report(t *Ticket, end End) (owed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if end == CallerLeft {
+		if !t.answered {
+			g.answer(t, Word{Verdict: Left})
+			g.decide(Now(), admit.CallerGone{ID: t.id})
+		}
+		return false
+	}
+	owed = !t.answered
+	t.answered = true
+	delete(g.hand, t.id)
+	g.decide(Now(), admit.Finished{ID: t.id, Outcome: outcomes[end]})
+	return owed
+}
+
+// Tick brings the gauges, or nil if they are not known, and names the time of the next tick.
+func (g *Gate) Tick(gauges []float64) Micros {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := Now()
+	if g.backend == nil {
+		return now + g.sheet.Terms.AnswerSlack/3
+	}
+	if gauges != nil {
+		g.gauges, g.asOf = append(g.gauges[:0], gauges...), now
+	} else if now-g.asOf > Micros(g.bounds.SampleOld.Microseconds()) {
+		g.gauges = g.gauges[:0]
+	}
+	r := g.sheet.Reading(g.gauges)
+	r.Token = g.token
+	g.wake = 0
+	g.decide(now, r)
+	g.overdue(now)
+	if g.wake <= now {
+		g.wake = now + g.sheet.Terms.AnswerSlack/3
+	}
+	return g.wake
+}
+
+// overdue guards the one answer against a fault of our own: what is still in hand well after it was due has
+// been lost sight of.
+func (g *Gate) overdue(now Micros) {
+	for _, t := range g.hand {
+		if !t.answered && now > t.due+g.sheet.Terms.AnswerSlack*2/3 {
+			log.Printf("event=overdue id=%s late_us=%d running=%t", t.id, now-t.due, t.running)
+			g.answer(t, Word{Verdict: Errored})
+			g.decide(now, admit.CallerGone{ID: t.id})
+		}
+	}
+}
+
+// Drain gives notice: the process is stopped after left.
+func (g *Gate) Drain(left Micros) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.drained = true
+	if g.backend != nil {
+		g.decide(Now(), admit.DrainNotice{Left: left})
+	}
+}
+
+// Good tells how health checks are to be answered.
+func (g *Gate) Good() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.backend != nil && g.good && !g.drained
+}
+
+// IdleFor is how long connections may carry nothing; 0 leaves it to the callers.
+func (g *Gate) IdleFor() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.idle >= g.sheet.Terms.IdleFor {
+		return 0
+	}
+	return time.Duration(g.idle) * time.Microsecond
+}
+
+// InHand counts the invocations that are held or on the farm.
+func (g *Gate) InHand() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.hand)
+}
+
+// answer gives t its final word, once.
+func (g *Gate) answer(t *Ticket, w Word) {
+	if t.answered {
+		return
+	}
+	t.answered = true
+	t.words <- w
+	if !t.running {
+		delete(g.hand, t.id)
+	}
+}
+
+// decide hands the module what happened and carries out what it wants. A panic in it is logged and returned;
+// whatever was in hand stays there and is answered when it falls due.
+func (g *Gate) decide(now Micros, ev admit.Event) (err error) {
+	if g.backend == nil {
+		return nil
+	}
+	defer func() {
+		if r := recover(); r != nil {
+			g.faults++
+			err = fmt.Errorf("%v", r)
+			log.Printf("event=fault in=%T text=%q stack=%q", ev, err, debug.Stack())
+		}
+	}()
+	g.acts = g.backend.Decide(now, ev, g.acts[:0])
+	for _, act := range g.acts {
+		g.carryOut(act)
+	}
+	return nil
+}
+
+func (g *Gate) carryOut(act admit.Action) {
+	switch a := act.(type) {
+	case admit.Start:
+		if t := g.hand[a.ID]; t != nil && !t.running && !t.answered {
+			t.running = true
+			t.words <- Word{Verdict: Run}
+		}
+	case admit.Throttle:
+		if t := g.hand[a.ID]; t != nil {
+			g.answer(t, Word{Verdict: Throttled, Away: a.RetryIn, DontRetry: a.DontRetry})
+		}
+	case admit.Fail:
+		if t := g.hand[a.ID]; t != nil {
+			g.answer(t, Word{Verdict: Errored})
+		}
+	case admit.SetHealth:
+		if g.good != a.Good {
+			g.good = a.Good
+			log.Printf("event=health good=%t", a.Good)
+		}
+	case admit.CloseIdle:
+		g.idle = a.After
+		log.Printf("event=idle after_us=%d", a.After)
+	case admit.Wake:
+		g.wake, g.token = a.At, a.Token
+	case admit.Log:
+		log.Printf("event=module text=%q", a.Text)
+	default: // nothing here can do it; terms refuses the deployments that would need it
+		log.Printf("event=fault in=%T text=\"no way to carry it out\"", act)
+	}
+}
--- /dev/null
+++ b/limit/limit.go
@@ -0,0 +1,80 @@
+// Package limit holds every size, count and time that bounds the program. The figures follow from what the
+// machine and the protocol allow; they are worked out once, at the start, and handed down.
+package limit
+
+import (
+	"math"
+	"time"
+)
+
+// Bounds are the limits of one process.
+type Bounds struct {
+	Processors  int   // that run Go code at once
+	Heap        int64 // bytes, the soft limit
+	HeapGrowth  int   // percent between two collections, while under that limit
+	Connections int   // of edge nodes, open at once
+	Invocations int   // read and not answered, or answered and still on the farm
+
+	Streams    int // open on one connection
+	Frame      int // bytes of a frame after its length, by the protocol
+	Content    int // bytes of a frame that can be an invocation; what is longer is skipped unread
+	Body       int // bytes of an invocation's body
+	Result     int // bytes of a run's result
+	Unsent     int // bytes of answers that a connection's peer leaves unread
+	Line       int // bytes of a line from the farm, without what follows it
+	Opinions   int // lines logged of one kind in one Quiet
+	AwayMost   time.Duration
+	SampleWait time.Duration // a tick waits so long for its sample
+	SampleOld  time.Duration // gauges older than this are not told
+	RedialLeast,
+	RedialMost time.Duration // between two tries to reach the farm
+	Dial      time.Duration // one try
+	Report    time.Duration // between two reports to the roster
+	Call      time.Duration // one report
+	Unread    time.Duration // a peer that takes nothing for so long is gone
+	Sweep     time.Duration // between two looks at idle connections
+	Quiet     time.Duration // between two log lines on the state
+	LastWords time.Duration // before the stop, all is flushed and closed
+}
+
+// For works the bounds out from a process's share of cores, its memory in MB and its descriptors.
+func For(cores, memoryMB float64, sockets int) Bounds {
+	const (
+		mb      = 1 << 20
+		spare   = 48 // descriptors of the farm, the roster, the pollers and the standard streams
+		perInv  = 16 << 10
+		perConn = 48 << 10
+	)
+	b := Bounds{
+		// One more than the cores: the poller of edge connections sleeps inside a system call, and what
+		// becomes due meanwhile should not wait until the runtime has taken its processor back.
+		Processors: int(math.Ceil(cores)) + 1,
+		Heap:       int64(memoryMB * mb * 5 / 8),
+		HeapGrowth: 400,
+
+		Streams: 32,
+		Frame:   262_144,
+		Body:    2 << 10,
+		Result:  4 << 10,
+		Line:    1 << 10,
+
+		AwayMost:    time.Hour,
+		SampleWait:  20 * time.Millisecond,
+		SampleOld:   300 * time.Millisecond,
+		RedialLeast: 20 * time.Millisecond,
+		RedialMost:  500 * time.Millisecond,
+		Dial:        time.Second,
+		Report:      700 * time.Millisecond,
+		Call:        700 * time.Millisecond,
+		Unread:      10 * time.Second,
+		Sweep:       500 * time.Millisecond,
+		Quiet:       10 * time.Second,
+		LastWords:   60 * time.Millisecond,
+	}
+	b.Content = b.Body + 8<<10
+	b.Unsent = 2 * b.Streams * (b.Result + 256)
+	room := memoryMB * mb / 4
+	b.Connections = max(1, min(sockets-spare, int(room/perConn)))
+	b.Invocations = max(1, min(b.Connections*b.Streams, int(room/perInv)))
+	return b
+}
--- /dev/null
+++ b/terms/backend.go
@@ -0,0 +1,145 @@
+package terms
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net/netip"
+	"os"
+	"slices"
+	"strconv"
+
+	"milletbarrow/admit"
+)
+
+// Backend is the configuration of one program.
+type Backend struct {
+	Name   string  `json:"name"`
+	Listen string  `json:"listen"`
+	Agent  string  `json:"agent"`
+	Roster string  `json:"roster"`
+	Seed   Seed    `json:"seed"`
+	StopMs float64 `json:"stop_ms"`
+	Limits struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Sheet *Sheet `json:"settings"`
+}
+
+// Seed starts the random numbers; in the file it is text of hex digits.
+type Seed uint64
+
+// UnmarshalJSON reads the hex digits.
+func (s *Seed) UnmarshalJSON(raw []byte) error {
+	var digits string
+	if err := json.Unmarshal(raw, &digits); err != nil {
+		return errors.New("seed: not text")
+	}
+	n, err := strconv.ParseUint(digits, 16, 64)
+	if err != nil {
+		return fmt.Errorf("seed: %q is not a number of up to 16 hex digits", digits)
+	}
+	*s = Seed(n)
+	return nil
+}
+
+// Read decodes the configuration at path. An error names the field that cannot be used.
+func Read(path string) (*Backend, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(raw)
+}
+
+// Parse decodes a configuration.
+func Parse(raw []byte) (*Backend, error) {
+	var b Backend
+	if err := json.Unmarshal(raw, &b); err != nil {
+		return nil, err
+	}
+	return &b, b.check()
+}
+
+func (b *Backend) check() error {
+	if b.Name == "" || !plain(b.Name) {
+		return fmt.Errorf("name: %q is not a word", b.Name)
+	}
+	for _, a := range []struct{ field, address string }{
+		{"listen", b.Listen}, {"agent", b.Agent}, {"roster", b.Roster},
+	} {
+		if to, err := netip.ParseAddrPort(a.address); err != nil || to.Port() == 0 && a.field != "listen" {
+			return fmt.Errorf("%s: %q is not an address and a port", a.field, a.address)
+		}
+	}
+	for _, n := range []struct {
+		field       string
+		value, most float64
+	}{
+		{"stop_ms", b.StopMs, 1e9}, {"limits.cores", b.Limits.Cores, 1024},
+		{"limits.memory_mb", b.Limits.MemoryMB, 1e7}, {"limits.sockets", float64(b.Limits.Sockets), 1e7},
+	} {
+		if !(n.value > 0 && n.value <= n.most) {
+			return fmt.Errorf("%s: %v is not above 0 and at most %v", n.field, n.value, n.most)
+		}
+	}
+	if b.Sheet == nil {
+		return errors.New("settings: missing")
+	}
+	return b.Sheet.check()
+}
+
+// plain: it stands in a line of words or a path as it is.
+func plain(s string) bool {
+	return !slices.ContainsFunc([]byte(s), func(c byte) bool { return c <= ' ' || c >= 0x7f || c == '/' })
+}
+
+// check tells what this program cannot do though the deployment asks for it, and what no backend could use.
+func (s *Sheet) check() error {
+	t := &s.Terms
+	switch {
+	case len(t.Operations) == 0:
+		return errors.New("settings.classes: none")
+	case t.Cores < 1:
+		return fmt.Errorf("settings.family_info.n_cores: %d", t.Cores)
+	case !(t.MemoryKB > 0):
+		return fmt.Errorf("settings.family_info.mem_limit_kb: %v", t.MemoryKB)
+	case !(t.RunFactor >= 1) || math.IsInf(t.RunFactor, 0):
+		return fmt.Errorf("settings.family_info.run_factor: %v", t.RunFactor)
+	case t.AnswerSlack <= 0:
+		return errors.New("settings.invariants.answer_slack_ms: not above 0")
+	case !(t.FallMultiple >= 1):
+		return fmt.Errorf("settings.invariants.fall_multiple: %v", t.FallMultiple)
+	case s.words.below != "off" && s.words.below != "":
+		return fmt.Errorf("settings.family_info.below: %q, and calls below have no line here", s.words.below)
+	case t.Fresh > 0:
+		return errors.New("settings.family_info.fresh_ms: above 0, and no results are kept here")
+	case t.FreeValue != admit.NoValue:
+		return fmt.Errorf("settings.family_info.say: %q, and answers have no field for it", s.words.say)
+	case t.Preemption != admit.CannotStop:
+		return fmt.Errorf("settings.family_info.preemption: %q, and the farm has no line for it", s.words.preemption)
+	}
+	for n, op := range t.Operations {
+		switch field := fmt.Sprintf("settings.classes[%d]", n); {
+		case s.Operations[n] == "" || !plain(s.Operations[n]):
+			return fmt.Errorf("%s.name: %q is not a word", field, s.Operations[n])
+		case slices.Index(s.Operations, s.Operations[n]) != n:
+			return fmt.Errorf("%s.name: %q stands twice", field, s.Operations[n])
+		case op.Objective <= 0:
+			return fmt.Errorf("%s.aim_ms: not above 0", field)
+		case op.ClientTimeout <= 0:
+			return fmt.Errorf("%s.deadline_ms: not above 0", field)
+		case s.words.repeats[n] != "idempotent" && s.words.repeats[n] != "at_most_once":
+			return fmt.Errorf("%s.repeat: %q has no field in the frames", field, s.words.repeats[n])
+		}
+	}
+	for n, name := range s.Tenants {
+		if name == "" || slices.Index(s.Tenants, name) != n {
+			return fmt.Errorf("settings.projects[%d].name: %q is empty or stands twice", n, name)
+		}
+	}
+	return nil
+}
--- a/wire/settings.go
+++ b/terms/terms.go
@@ -1,10 +1,33 @@
-package wire
+// Package terms decodes what a deployment tells one backend: the settings object, which the simulator
+// hands to an instance at its start and the configuration file to a program, and that file itself.
+package terms
 
-import "milletbarrow/admit"
+import (
+	"encoding/json"
+	"math"
 
-// settings is the part of the start message that admit's Terms are made of.
-type settings struct {
+	"milletbarrow/admit"
+)
+
+// Sheet is a decoded settings object.
+type Sheet struct {
+	Terms      admit.Terms
+	Operations []string // names, by number
+	Tenants    []string
+	Gauges     []string
+	words      words
+}
+
+// words are the choices that the object spells out.
+type words struct {
+	repeats                []string
+	below, preemption, say string
+}
+
+// object is the part of the settings that a Sheet is made of.
+type object struct {
 	Classes []struct {
+		Name       string  `json:"name"`
 		AimMs      float64 `json:"aim_ms"`
 		AimStretch float64 `json:"aim_stretch"`
 		DeadlineMs float64 `json:"deadline_ms"`
@@ -13,6 +36,7 @@
 		LateValue  float64 `json:"late_value"`
 	} `json:"classes"`
 	Projects []struct {
+		Name      string  `json:"name"`
 		QuotaPerS float64 `json:"quota_per_s"`
 	} `json:"projects"`
 	OverShareWorth float64 `json:"over_share_worth"`
@@ -64,27 +88,40 @@
 	}
 )
 
-func (s *settings) terms() admit.Terms {
-	f, r := &s.Family, &s.Rules
+// Micros converts milliseconds, with room to add two of them safely.
+func Micros(ms float64) admit.Micros {
+	const most = 1e15
+	return admit.Micros(math.Round(math.Max(-most, math.Min(most, ms*1000))))
+}
+
+// UnmarshalJSON decodes a settings object; keys that it does not know are skipped.
+func (s *Sheet) UnmarshalJSON(raw []byte) error {
+	var o object
+	if err := json.Unmarshal(raw, &o); err != nil {
+		return err
+	}
+	f, r := &o.Family, &o.Rules
 	t := admit.Terms{
-		OverShareValue: s.OverShareWorth, Fleet: s.FleetSize, Callers: f.Callers, Cores: f.Cores,
-		MemoryKB: f.MemLimitKB, RunFactor: f.RunFactor, KeyKB: f.KeyKB, Fresh: micros(f.FreshMs),
+		OverShareValue: o.OverShareWorth, Fleet: o.FleetSize, Callers: f.Callers, Cores: f.Cores,
+		MemoryKB: f.MemLimitKB, RunFactor: f.RunFactor, KeyKB: f.KeyKB, Fresh: Micros(f.FreshMs),
 		JustStarted: f.JustStarted, Preemption: preemptions[f.Preemption], FreeValue: freeValues[f.Say],
-		AnswerSlack: micros(r.AnswerSlackMs), DrainGrace: micros(r.DrainGraceMs),
-		ColdShare: r.ColdShare, ColdFor: micros(r.ColdMs), FallMultiple: r.FallMultiple, FallOver: micros(r.FallMs),
-		SharedBelow: f.Below == "one_for_all", CallShare: f.CallsOut, CallsOver: micros(f.CallsOverMs),
-		Linger: micros(f.LingerMs), Round: micros(s.RoundMs), IdleFor: micros(f.IdleMs),
+		AnswerSlack: Micros(r.AnswerSlackMs), DrainGrace: Micros(r.DrainGraceMs),
+		ColdShare: r.ColdShare, ColdFor: Micros(r.ColdMs), FallMultiple: r.FallMultiple, FallOver: Micros(r.FallMs),
+		SharedBelow: f.Below == "one_for_all", CallShare: f.CallsOut, CallsOver: Micros(f.CallsOverMs),
+		Linger: Micros(f.LingerMs), Round: Micros(o.RoundMs), IdleFor: Micros(f.IdleMs),
 	}
-	if s.Limits.RetryAfter {
-		t.MaxRetryAfter = micros(s.Limits.MaxRetryAfterMs)
+	if o.Limits.RetryAfter {
+		t.MaxRetryAfter = Micros(o.Limits.MaxRetryAfterMs)
 	}
-	for _, p := range s.Projects {
+	*s = Sheet{Gauges: f.Gauges, words: words{below: f.Below, preemption: f.Preemption, say: f.Say}}
+	for _, p := range o.Projects {
 		t.QuotaPerSecond = append(t.QuotaPerSecond, p.QuotaPerS)
+		s.Tenants = append(s.Tenants, p.Name)
 	}
-	for n, c := range s.Classes {
+	for n, c := range o.Classes {
 		op := admit.Operation{
-			Repeat: repeats[c.Repeat], Objective: micros(c.AimMs), Stretch: c.AimStretch,
-			ClientTimeout: micros(c.DeadlineMs), Window: micros(c.WindowMs), LateValue: c.LateValue,
+			Repeat: repeats[c.Repeat], Objective: Micros(c.AimMs), Stretch: c.AimStretch,
+			ClientTimeout: Micros(c.DeadlineMs), Window: Micros(c.WindowMs), LateValue: c.LateValue,
 		}
 		if n < len(f.ClassCalls) {
 			op.Calls = f.ClassCalls[n]
@@ -93,6 +130,28 @@
 			op.SkippedValue = f.DegradedWorth[n]
 		}
 		t.Operations = append(t.Operations, op)
+		s.Operations = append(s.Operations, c.Name)
+		s.words.repeats = append(s.words.repeats, c.Repeat)
+	}
+	s.Terms = t
+	return nil
+}
+
+// Reading names raw gauge values; what is not among them is -1.
+func (s *Sheet) Reading(values []float64) admit.Reading {
+	return Reading(s.Gauges, values)
+}
+
+// Reading names raw gauge values by the names given; what is not among them is -1.
+func Reading(names []string, values []float64) admit.Reading {
+	r := admit.Reading{CoreUse: -1, OnCores: -1, MemoryShare: -1, Connections: -1}
+	byName := map[string]*float64{
+		"core_use": &r.CoreUse, "on_cores": &r.OnCores, "heap_share": &r.MemoryShare, "links": &r.Connections,
+	}
+	for n, name := range names {
+		if to := byName[name]; to != nil && n < len(values) {
+			*to = values[n]
+		}
 	}
-	return t
+	return r
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -8,9 +8,9 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 
 	"milletbarrow/admit"
+	"milletbarrow/terms"
 )
 
 // Open starts a life of an instance.
@@ -39,27 +39,27 @@
 }
 
 type fields struct {
-	I          *int       `json:"i"`
-	At         *float64   `json:"at_time_ms"`
-	Round      *int64     `json:"round"`
-	Seed       *uint64    `json:"init_seed"`
-	Settings   *settings  `json:"settings"`
-	Req        string     `json:"req"`
-	HintMs     float64    `json:"hint_ms"`
-	Update     bool       `json:"update"`
-	Subject    string     `json:"subject"`
-	Prio       float64    `json:"prio"`
-	WaitedMs   float64    `json:"waited_ms"`
-	Project    int        `json:"project"`
-	KB         float64    `json:"kb"`
-	IsRetry    bool       `json:"is_retry"`
-	Service    *int       `json:"service"`
-	BudgetMs   float64    `json:"time_budget_ms"`
-	Earlier    text       `json:"earlier"`
-	StateCode  string     `json:"state_code"`
-	DurationMs float64    `json:"duration_ms"`
-	Token      *int64     `json:"token"`
-	Feedback   *[]float64 `json:"feedback"`
+	I          *int         `json:"i"`
+	At         *float64     `json:"at_time_ms"`
+	Round      *int64       `json:"round"`
+	Seed       *uint64      `json:"init_seed"`
+	Settings   *terms.Sheet `json:"settings"`
+	Req        string       `json:"req"`
+	HintMs     float64      `json:"hint_ms"`
+	Update     bool         `json:"update"`
+	Subject    string       `json:"subject"`
+	Prio       float64      `json:"prio"`
+	WaitedMs   float64      `json:"waited_ms"`
+	Project    int          `json:"project"`
+	KB         float64      `json:"kb"`
+	IsRetry    bool         `json:"is_retry"`
+	Service    *int         `json:"service"`
+	BudgetMs   float64      `json:"time_budget_ms"`
+	Earlier    text         `json:"earlier"`
+	StateCode  string       `json:"state_code"`
+	DurationMs float64      `json:"duration_ms"`
+	Token      *int64       `json:"token"`
+	Feedback   *[]float64   `json:"feedback"`
 }
 
 // text is a string that may also come as null or as the number 0, meaning none.
@@ -79,12 +79,6 @@
 	"Ignored": admit.Void,
 }
 
-// micros converts milliseconds, with room to add two of them safely.
-func micros(ms float64) admit.Micros {
-	const most = 1e15
-	return admit.Micros(math.Round(math.Max(-most, math.Min(most, ms*1000))))
-}
-
 func millis(t admit.Micros) float64 { return float64(t) / 1000 }
 
 // Read decodes one line.
@@ -121,7 +115,7 @@
 		if f.At == nil || f.Round == nil {
 			return errors.New("at_time_ms or round is missing")
 		}
-		msg.At, msg.Round = micros(*f.At), *f.Round
+		msg.At, msg.Round = terms.Micros(*f.At), *f.Round
 		return nil
 	case "Commit":
 		return nil
@@ -136,13 +130,13 @@
 		if f.Seed == nil || f.Settings == nil {
 			return errors.New("init_seed or settings is missing")
 		}
-		msg.Event = Open{Seed: *f.Seed, Terms: f.Settings.terms(), Gauges: f.Settings.Family.Gauges}
+		msg.Event = Open{Seed: *f.Seed, Terms: f.Settings.Terms, Gauges: f.Settings.Gauges}
 		return nil
 	case "Detach":
 		msg.Event = Gone{}
 		return nil
 	case "Sigterm":
-		msg.Event = admit.DrainNotice{Left: micros(f.BudgetMs)}
+		msg.Event = admit.DrainNotice{Left: terms.Micros(f.BudgetMs)}
 		return nil
 	case "Alarm":
 		if f.Token == nil || f.Feedback == nil {
@@ -156,17 +150,17 @@
 		}
 		msg.Event = admit.Arrived{
 			ID: f.Req, Operation: *f.Service, Tenant: f.Project, Rank: f.Prio, Retry: f.IsRetry, Write: f.Update,
-			Keyed: f.Subject != "", Hint: micros(f.HintMs), Waited: micros(f.WaitedMs),
-			Budget: micros(f.BudgetMs), KB: f.KB, Earlier: string(f.Earlier),
+			Keyed: f.Subject != "", Hint: terms.Micros(f.HintMs), Waited: terms.Micros(f.WaitedMs),
+			Budget: terms.Micros(f.BudgetMs), KB: f.KB, Earlier: string(f.Earlier),
 		}
 	case "Done":
-		msg.Event = admit.Finished{ID: f.Req, Outcome: code, Took: micros(f.DurationMs)}
+		msg.Event = admit.Finished{ID: f.Req, Outcome: code, Took: terms.Micros(f.DurationMs)}
 	case "TimedOutClient":
 		msg.Event = admit.CallerGone{ID: f.Req}
 	case "WantsCall":
 		msg.Event = admit.NeedsCall{ID: f.Req}
 	case "Returned":
-		msg.Event = admit.CallReturned{ID: f.Req, Outcome: code, Took: micros(f.DurationMs)}
+		msg.Event = admit.CallReturned{ID: f.Req, Outcome: code, Took: terms.Micros(f.DurationMs)}
 	default:
 		return errors.New("unknown message")
 	}
@@ -181,15 +175,8 @@
 
 // Reading names the raw gauges of an Alarm; what is not among them is -1.
 func (g Gauge) Reading(names []string) admit.Reading {
-	r := admit.Reading{Token: g.Token, CoreUse: -1, OnCores: -1, MemoryShare: -1, Connections: -1}
-	byName := map[string]*float64{
-		"core_use": &r.CoreUse, "on_cores": &r.OnCores, "heap_share": &r.MemoryShare, "links": &r.Connections,
-	}
-	for n, name := range names {
-		if to := byName[name]; to != nil && n < len(g.Values) {
-			*to = g.Values[n]
-		}
-	}
+	r := terms.Reading(names, g.Values)
+	r.Token = g.Token
 	return r
 }
 
