Close a connection that ends within a frame, and bound unread answers over all of them

Seen by reading netpoll: it calls the handler again while data is unread, so a frame cut by the end of its connection would have made it spin. A warm farm's past no longer makes the module take its callers for rare ones (the log showed connections called idle at the start).

--- a/edge/conn.go
+++ b/edge/conn.go
@@ -48,12 +48,14 @@
 				c.skip -= n
 			}
 			if r.Skip(n) != nil || r.Release() != nil {
+				c.np.Close()
 				return
 			}
 			continue
 		}
 		border, err := r.Peek(frame.LengthSize)
-		if err != nil {
+		if err != nil { // it ended within a frame; netpoll would call again and again for what is left unread
+			c.np.Close()
 			return
 		}
 		size, err := frame.Length(border, c.server.bounds.Frame)
@@ -67,11 +69,13 @@
 		whole := min(frame.LengthSize+size, frame.HeadSize+c.server.bounds.Content)
 		b, err := r.Next(whole)
 		if err != nil {
+			c.np.Close()
 			return
 		}
 		c.skip = frame.LengthSize + size - whole
 		c.take(b)
 		if r.Release() != nil {
+			c.np.Close()
 			return
 		}
 	}
@@ -167,7 +171,7 @@
 	}
 	delete(c.open, st.number)
 	c.used = time.Now()
-	c.out = frame.AppendAnswer(c.out, st.number, code, away, last, body)
+	c.append(func(to []byte) []byte { return frame.AppendAnswer(to, st.number, code, away, last, body) })
 	c.flush()
 }
 
@@ -205,7 +209,7 @@
 // put writes a frame without waiting for it.
 func (c *conn) put(write func(to []byte) []byte) {
 	c.mu.Lock()
-	c.out = write(c.out)
+	c.append(write)
 	if c.writing || c.closed {
 		c.tooMuch()
 		c.mu.Unlock()
@@ -220,9 +224,20 @@
 	}()
 }
 
+// append adds a frame to what is to be written; c.mu is held.
+func (c *conn) append(write func(to []byte) []byte) {
+	if c.closed {
+		return
+	}
+	before := len(c.out)
+	c.out = write(c.out)
+	c.server.unsent.Add(int64(len(c.out) - before))
+}
+
 // tooMuch cuts off a peer that takes nothing while it sends; c.mu is held.
 func (c *conn) tooMuch() {
-	if len(c.out) > c.server.bounds.Unsent && !c.closed {
+	b := &c.server.bounds
+	if !c.closed && (len(c.out) > b.Unsent || len(c.out) > 0 && c.server.unsent.Load() > b.UnsentAll) {
 		c.server.oddity("unread", nil)
 		c.shut()
 	}
@@ -243,7 +258,10 @@
 		c.mu.Unlock()
 		_, err := c.np.Write(b)
 		c.mu.Lock()
-		c.spare = b
+		c.server.unsent.Add(-int64(len(b)))
+		if cap(b) <= c.server.bounds.Spare {
+			c.spare = b
+		}
 		if err != nil {
 			c.shut()
 		}
@@ -299,5 +317,6 @@
 		delete(c.open, number)
 		close(st.left)
 	}
+	c.server.unsent.Add(-int64(len(c.out)))
 	c.out, c.spare = nil, nil
 }
--- a/edge/server.go
+++ b/edge/server.go
@@ -38,6 +38,7 @@
 	listener   net.Listener
 	loop       netpoll.EventLoop
 	inHand     atomic.Int64 // goroutines that carry an invocation
+	unsent     atomic.Int64 // bytes of answers not yet taken by peers, on all connections
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -104,6 +104,8 @@
 }
 
 // Open starts deciding: the farm is there and came up so long ago, cold or warm. Later calls change nothing.
+// Only a cold farm's past matters: its warming has gone on for so long. One that has been warm for an hour must
+// not make the module believe that it has seen no caller for an hour.
 func (g *Gate) Open(cold bool, ago Micros) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -113,7 +115,10 @@
 	t := g.sheet.Terms
 	t.JustStarted = cold
 	g.backend = admit.New(t, g.seed)
-	g.decide(Now()-ago, admit.Opened{})
+	if !cold {
+		ago = 0
+	}
+	g.decide(Now()-min(ago, t.ColdFor), admit.Opened{})
 }
 
 // Pick takes an invocation in and blocks until it is to run, or is throttled or errored, or its caller has
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -15,14 +15,16 @@
 	Connections int   // of edge nodes, open at once
 	Invocations int   // read and not answered, or answered and still on the farm
 
-	Streams    int // open on one connection
-	Frame      int // bytes of a frame after its length, by the protocol
-	Content    int // bytes of a frame that can be an invocation; what is longer is skipped unread
-	Body       int // bytes of an invocation's body
-	Result     int // bytes of a run's result
-	Unsent     int // bytes of answers that a connection's peer leaves unread
-	Line       int // bytes of a line from the farm, without what follows it
-	Opinions   int // lines logged of one kind in one Quiet
+	Streams    int   // open on one connection
+	Frame      int   // bytes of a frame after its length, by the protocol
+	Content    int   // bytes of a frame that can be an invocation; what is longer is skipped unread
+	Body       int   // bytes of an invocation's body
+	Result     int   // bytes of a run's result
+	Unsent     int   // bytes of answers that a connection's peer leaves unread
+	UnsentAll  int64 // the same for all connections together
+	Spare      int   // bytes of a buffer kept for the next answers
+	Line       int   // bytes of a line from the farm, without what follows it
+	Opinions   int   // lines logged of one kind in one Quiet
 	AwayMost   time.Duration
 	SampleWait time.Duration // a tick waits so long for its sample
 	SampleOld  time.Duration // gauges older than this are not told
@@ -41,7 +43,7 @@
 func For(cores, memoryMB float64, sockets int) Bounds {
 	const (
 		mb      = 1 << 20
-		spare   = 48 // descriptors of the farm, the roster, the pollers and the standard streams
+		spare   = 24 // descriptors of the farm, the roster, the pollers and the standard streams
 		perInv  = 16 << 10
 		perConn = 48 << 10
 	)
@@ -73,6 +75,8 @@
 	}
 	b.Content = b.Body + 8<<10
 	b.Unsent = 2 * b.Streams * (b.Result + 256)
+	b.UnsentAll = int64(memoryMB * mb / 8)
+	b.Spare = 16 << 10
 	room := memoryMB * mb / 4
 	b.Connections = max(1, min(sockets-spare, int(room/perConn)))
 	b.Invocations = max(1, min(b.Connections*b.Streams, int(room/perInv)))
