--- a/cmd/milletbarrow/main.go
+++ b/cmd/milletbarrow/main.go
@@ -26,7 +26,7 @@
 func main() {
 	log.SetFlags(log.LstdFlags | log.Lmicroseconds | log.LUTC)
 	config := &cli.StringFlag{
-		Name: "config", Usage: "the configuration `FILE`", Sources: cli.EnvVars("GW_CONFIG"), Required: true,
+		Name: "config", Usage: "the configuration `FILE`", Sources: cli.EnvVars("GW_CONFIG"),
 	}
 	app := &cli.Command{
 		Name:           "milletbarrow",
@@ -35,13 +35,22 @@
 		Commands: []*cli.Command{
 			{
 				Name: "serve", Usage: "run a backend until it is told to leave", Flags: []cli.Flag{config},
-				Action: func(ctx context.Context, c *cli.Command) error { return serve(c.String("config")) },
+				Action: func(ctx context.Context, c *cli.Command) error {
+					if c.Args().Present() { // what is no command comes here too
+						return fmt.Errorf("%q is no command; help lists them", c.Args().First())
+					}
+					b, err := configuration(c)
+					if err == nil {
+						err = serve(b)
+					}
+					return err
+				},
 			},
 			{
 				Name: "check", Usage: "tell whether a configuration can be used, without starting",
 				Flags: []cli.Flag{config},
 				Action: func(ctx context.Context, c *cli.Command) error {
-					b, err := terms.Read(c.String("config"))
+					b, err := configuration(c)
 					if err == nil {
 						fmt.Printf("%s: can be used\n", b.Name)
 					}
@@ -51,7 +60,7 @@
 			{
 				Name: "limits", Usage: "print the bounds that follow from a configuration", Flags: []cli.Flag{config},
 				Action: func(ctx context.Context, c *cli.Command) error {
-					b, err := terms.Read(c.String("config"))
+					b, err := configuration(c)
 					if err == nil {
 						fmt.Printf("%+v\n", bounds(b))
 					}
@@ -73,6 +82,14 @@
 	}
 }
 
+func configuration(c *cli.Command) (*terms.Backend, error) {
+	file := c.String("config")
+	if file == "" {
+		return nil, errors.New("config: no file is named, by GW_CONFIG or --config")
+	}
+	return terms.Read(file)
+}
+
 func version() string {
 	revision := "unknown"
 	if info, ok := debug.ReadBuildInfo(); ok {
@@ -90,13 +107,9 @@
 }
 
 // serve wires the parts together and waits for the notice to leave.
-func serve(config string) error {
+func serve(b *terms.Backend) error {
 	notice := make(chan os.Signal, 1)
 	signal.Notify(notice, syscall.SIGTERM, os.Interrupt)
-	b, err := terms.Read(config)
-	if err != nil {
-		return err
-	}
 	lim := bounds(b)
 	runtime.GOMAXPROCS(lim.Processors)
 	debug.SetMemoryLimit(lim.Heap)
--- /dev/null
+++ b/cmd/milletbarrow/main_test.go
@@ -0,0 +1,299 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"milletbarrow/standin"
+)
+
+var program string
+
+// TestMain builds the program that the tests start.
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "milletbarrow")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(dir, "milletbarrow")
+	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// backend is a started program with what is around it.
+type backend struct {
+	t       testing.TB
+	agent   *standin.Agent
+	reports chan string
+	address string
+	config  string
+	cmd     *exec.Cmd
+	mu      sync.Mutex
+	log     bytes.Buffer
+	ended   chan error
+}
+
+func (b *backend) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.log.Write(p)
+}
+
+// said tells whether the log holds text.
+func (b *backend) said(text string) func() bool {
+	return func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return strings.Contains(b.log.String(), text)
+	}
+}
+
+// config is a whole configuration; edit replaces text in it.
+func config(t testing.TB, listen, agent, roster string, edit ...string) string {
+	text := strings.NewReplacer(edit...).Replace(fmt.Sprintf(`{"name":"n3","listen":"%s","agent":"%s","roster":"%s",
+		"seed":"8c1f30d27a5be964","stop_ms":1500,"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"more":{},
+		"settings":%s}`, listen, agent, roster, standin.Settings))
+	file := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+func prepare(t testing.TB, edit ...string) *backend {
+	l, err := net.Listen("tcp", "127.0.0.1:0") // a port that is free now
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	b := &backend{t: t, agent: standin.NewAgent(t), address: l.Addr().String()}
+	var roster string
+	roster, b.reports = standin.NewRoster(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	b.config = config(t, b.address, b.agent.Address, roster, edit...)
+	return b
+}
+
+func (b *backend) start() *backend {
+	b.cmd = exec.Command(program)
+	b.cmd.Env = append(os.Environ(), "GW_CONFIG="+b.config)
+	b.cmd.Stderr = b
+	if err := b.cmd.Start(); err != nil {
+		b.t.Fatal(err)
+	}
+	b.ended = make(chan error, 1)
+	go func(cmd *exec.Cmd, ended chan error) { ended <- cmd.Wait() }(b.cmd, b.ended)
+	b.t.Cleanup(func() { b.cmd.Process.Kill() })
+	return b
+}
+
+// ready waits until a health check is answered with good.
+func (b *backend) ready() *backend {
+	standin.Until(b.t, "it is healthy", func() bool {
+		c, err := net.Dial("tcp", b.address)
+		if err != nil {
+			return false
+		}
+		c.Close()
+		n := standin.Dial(b.t, b.address)
+		defer n.Close()
+		n.Send(standin.Raw(20, 1, "\x00"))
+		return n.Expect().Code == 1
+	})
+	return b
+}
+
+func (b *backend) term() time.Time {
+	b.cmd.Process.Signal(syscall.SIGTERM)
+	return time.Now()
+}
+
+func (b *backend) exit(tr *standin.Trace, since time.Time) {
+	tr.Say("exit: %v, before the stop %t", standin.Take(b.t, "the exit", b.ended), time.Since(since) < 1500*time.Millisecond)
+}
+
+func TestServeAndDrain(t *testing.T) {
+	tr := standin.NewTrace(t)
+	b := prepare(t).start().ready()
+	tr.Say("roster: %s", standin.Take(t, "a report", b.reports))
+	n := standin.Dial(t, b.address)
+	n.Send(standin.Invocation(1, 1), standin.Invocation(2, 2))
+	one, two := standin.Take(t, "a launch", b.agent.Launches), standin.Take(t, "a launch", b.agent.Launches)
+	b.agent.End(one.ID, "complete", "the result")
+	tr.Say("%+v: %v", one, n.Expect())
+	since := b.term()
+	b.term()
+	standin.Until(t, "the notice is heard", b.said("event=drain"))
+	n.Send(standin.Invocation(3, 3))
+	grace := standin.Take(t, "a launch within the grace", b.agent.Launches)
+	b.agent.End(grace.ID, "complete", "within the grace")
+	tr.Say("%v", n.Expect())
+	tr.Say("once the grace is over: %v", n.Expect())
+	n.Send(standin.Invocation(4, 4))
+	tr.Say("after it: %v", n.Expect())
+	b.agent.End(two.ID, "complete", "it had time")
+	tr.Say("%v", n.Expect())
+	n.Close()
+	b.exit(tr, since)
+	last := ""
+	for len(b.reports) > 0 {
+		last = <-b.reports
+	}
+	tr.Say("roster: %s, launches left %d", last, len(b.agent.Launches))
+}
+
+// TestDrainOfWhatNeverEnds: all is answered before the stop, though the farm is silent or gone.
+func TestDrainOfWhatNeverEnds(t *testing.T) {
+	tr := standin.NewTrace(t)
+	for _, gone := range []bool{false, true} {
+		b := prepare(t).start().ready()
+		n := standin.Dial(t, b.address)
+		n.Send(standin.Invocation(1, 1), standin.Invocation(2, 2), standin.Invocation(3, 3))
+		standin.Take(t, "a launch", b.agent.Launches)
+		if gone {
+			b.agent.With(func(state, _ *string) { *state = "" })
+			b.agent.Cut()
+			standin.Until(t, "the link is lost", b.said("event=farm_lost"))
+		}
+		since := b.term()
+		var codes []byte
+		for len(codes) < 3 {
+			if f := n.Expect(); f.Type == 11 {
+				codes = append(codes, f.Code)
+			}
+		}
+		tr.Say("farm gone %t: %d answers before the stop %t", gone, len(codes), time.Since(since) < 1500*time.Millisecond)
+		b.exit(tr, since)
+	}
+}
+
+// TestBeforeTheFarm: nothing is good before the first greeting, and leaving then is quick.
+func TestBeforeTheFarm(t *testing.T) {
+	tr := standin.NewTrace(t)
+	b := prepare(t)
+	b.agent.With(func(state, _ *string) { *state = "" })
+	b.start()
+	standin.Take(t, "a link", b.agent.Subscribes)
+	n := standin.Dial(t, b.address)
+	n.Send(standin.Raw(20, 1, "\x00"), standin.Invocation(2, 2))
+	tr.Say("%v, %v", n.Expect(), n.Expect())
+	b.agent.With(func(state, _ *string) { *state = "chilly 5" })
+	b.ready()
+	n.Send(standin.Invocation(3, 3))
+	standin.Take(t, "a launch", b.agent.Launches)
+
+	b = prepare(t)
+	b.agent.With(func(state, _ *string) { *state = "" })
+	b.start()
+	standin.Take(t, "a link", b.agent.Subscribes)
+	b.exit(tr, b.term())
+}
+
+// TestStartAgain: killed outright, it comes up at once under its name and address.
+func TestStartAgain(t *testing.T) {
+	tr := standin.NewTrace(t)
+	b := prepare(t).start().ready()
+	n := standin.Dial(t, b.address)
+	n.Send(standin.Invocation(1, 1))
+	standin.Take(t, "a launch", b.agent.Launches)
+	b.cmd.Process.Kill()
+	standin.Take(t, "the end", b.ended)
+	b.start().ready()
+	n = standin.Dial(t, b.address)
+	n.Send(standin.Invocation(1, 2))
+	l := standin.Take(t, "a launch", b.agent.Launches)
+	b.agent.End(l.ID, "complete", "again")
+	tr.Say("%v", n.Expect())
+}
+
+// TestHeldUp: due times are kept by a process that was stopped for a while, once it goes on.
+func TestHeldUp(t *testing.T) {
+	tr := standin.NewTrace(t)
+	b := prepare(t).start().ready()
+	n := standin.Dial(t, b.address)
+	began := time.Now()
+	n.Send(standin.Invocation(1, 1, "wait=250"))
+	standin.Take(t, "a launch", b.agent.Launches)
+	b.agent.With(func(_, gauges *string) { *gauges = "" }) // and the farm is silent
+	b.cmd.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(120 * time.Millisecond) // it has to last, there is no condition to wait for
+	b.cmd.Process.Signal(syscall.SIGCONT)
+	f := n.Expect()
+	tr.Say("%v, in time %t", f, time.Since(began) < 380*time.Millisecond)
+}
+
+// TestDescriptorsAtTheLimit: with none left what is open goes on, accepting does not spin, and there is room
+// again once some have gone.
+func TestDescriptorsAtTheLimit(t *testing.T) {
+	tr := standin.NewTrace(t)
+	b := prepare(t, `"sockets":1024`, `"sockets":64`).start().ready()
+	n := standin.Dial(t, b.address)
+	n.Send(standin.Raw(20, 1, "\x00"))
+	n.Expect()
+	var all []*standin.Node
+	for range 100 {
+		all = append(all, standin.Dial(t, b.address))
+	}
+	n.Send(standin.Invocation(2, 2))
+	l := standin.Take(t, "a launch", b.agent.Launches)
+	b.agent.End(l.ID, "complete", "still here")
+	tr.Say("%v", n.Expect())
+	fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", b.cmd.Process.Pid))
+	tr.Say("%v, within the limit %t", err, len(fds) <= 64)
+	for _, o := range all {
+		o.Close()
+	}
+	b.ready()
+	standin.Until(t, "descriptors are given back", func() bool {
+		fds, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", b.cmd.Process.Pid))
+		return len(fds) < 24
+	})
+}
+
+func TestCommands(t *testing.T) {
+	tr := standin.NewTrace(t)
+	for _, edit := range []string{
+		"", `"n3"=>""`, `"8c1f30d27a5be964"=>7`, `8c1f30d27a5be964=>xyz`, `"listen":"127.0.0.1:1"=>"listen":"here"`,
+		`"agent":"127.0.0.1:2"=>"agent":"127.0.0.1"`, `"roster":"127.0.0.1:3"=>"roster":""`, `1500=>-1`, `"cores":1.0=>"cores":0`,
+		`192=>"much"`, `1024=>0`, `"settings"=>"other"`, `"n_cores":2=>"n_cores":0`, `"repeat":"at_most_once"=>"repeat":"maybe"`,
+		`"post"=>"look"`, `"look"=>"lo ok"`, `"zenith"=>"acme"`, `"below":"off"=>"below":"tier"`, `"say":"off"=>"say":"floor"`,
+		`"preemption":"off"=>"preemption":"freeze"`, `"aim_ms":2000=>"aim_ms":0`, `"mem_limit_kb":90000=>"mem_limit_kb":-1`,
+		`{"name"=>{{`,
+	} {
+		from, to, _ := strings.Cut(edit, "=>")
+		if from == "" {
+			from, to = "unchanged", "unchanged"
+		}
+		file := config(t, "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", from, to)
+		out, err := exec.Command(program, "check", "--config", file).CombinedOutput()
+		tr.Say("check %s: %v, %s", edit, err, strings.TrimSpace(string(out)))
+		if err != nil { // serve says the same and opens nothing
+			cmd := exec.Command(program)
+			cmd.Env = append(os.Environ(), "GW_CONFIG="+file)
+			if again, err := cmd.CombinedOutput(); err == nil || !bytes.Equal(again, out) {
+				tr.Say("  serve: %v, %s", err, again)
+			}
+		}
+	}
+	out, err := exec.Command(program, "version").CombinedOutput()
+	tr.Say("version: %v, well formed %t", err, regexp.MustCompile(`^milletbarrow revision \w+, go`).Match(out))
+	out, err = exec.Command(program, "check", "--config", "/nowhere").CombinedOutput()
+	tr.Say("no file: %v, %s", err, out)
+	out, err = exec.Command(program, "dance").CombinedOutput()
+	tr.Say("no such command: %v, %s", err, out)
+}
--- a/edge/conn.go
+++ b/edge/conn.go
@@ -41,6 +41,10 @@
 func (c *conn) read() {
 	r := c.np.Reader()
 	for r.Len() > 0 {
+		if !c.np.IsActive() { // we have closed it though the peer goes on sending, or the peer is gone
+			c.np.Close()
+			return
+		}
 		if c.deaf || c.skip > 0 {
 			n := r.Len()
 			if !c.deaf {
--- a/edge/server.go
+++ b/edge/server.go
@@ -2,6 +2,7 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -71,7 +72,7 @@
 
 // Listen opens the address.
 func (s *Server) Listen(address string) (net.Addr, error) {
-	if err := netpoll.Configure(netpoll.Config{PollerNum: 1}); err != nil {
+	if err := netpoll.Configure(netpoll.Config{PollerNum: 1, LoggerOutput: remarks{s}}); err != nil {
 		return nil, err
 	}
 	l, err := netpoll.CreateListener("tcp", address)
@@ -206,6 +207,14 @@
 	}
 }
 
+// remarks takes netpoll's own log in: it writes a line for each connection that is reset.
+type remarks struct{ server *Server }
+
+func (r remarks) Write(line []byte) (int, error) {
+	r.server.oddity("netpoll", errors.New(string(bytes.TrimSpace(line))))
+	return len(line), nil
+}
+
 // Sweep asks callers off the connections that rest for longer than the gate wants, until done.
 func (s *Server) Sweep(done <-chan struct{}) {
 	tick := time.NewTicker(s.bounds.Sweep)
@@ -217,11 +226,15 @@
 		case <-tick.C:
 		}
 		if most := s.gate.IdleFor(); most > 0 {
-			for _, c := range s.all() {
-				if since, rests := c.restsSince(); rests && time.Since(since) > most {
-					c.askNoMore()
-				}
-			}
+			s.sweep(most)
+		}
+	}
+}
+
+func (s *Server) sweep(most time.Duration) {
+	for _, c := range s.all() {
+		if since, rests := c.restsSince(); rests && time.Since(since) > most {
+			c.askNoMore()
 		}
 	}
 }
--- /dev/null
+++ b/farm/farm_test.go
@@ -0,0 +1,173 @@
+package farm
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"milletbarrow/gate"
+	"milletbarrow/limit"
+	"milletbarrow/standin"
+)
+
+func TestLines(t *testing.T) {
+	tr := standin.NewTrace(t)
+	for _, line := range []string{
+		"greeting chilly 120", "greeting hot 3600000", "greeting warm 1", "greeting hot", "greeting hot -1", "greeting hot 1 2",
+		"outcome 7 9b1f03aa5c7e2d41 complete 18.5 4096", "outcome 8 9b1f03aa5c7e2d41 error 3 0",
+		"outcome 9 9b1f03aa5c7e2d41 cancelled 3 0", "outcome 10 9b1f03aa5c7e2d41 unknown 0 0", "outcome 0 a error 3 0",
+		"outcome x a error 3 0", "outcome 11 a melted 3 0", "outcome 12 a error 3 -1", "outcome 13 a error x 0", "outcome 14 a error 3",
+		"sampled t5 0.62 3 0.41 120", "sampled t5 0.62 three", "sampled t5 NaN", "sampled", "refusal launch 9b1f03aa5c7e2d41",
+		"refusal launch", "aside 15 all is well", "aside nothing", "", "shout 1", "greeting hot 1\r", "outcome  7 a error 3 0",
+	} {
+		n, err := parse([]byte(line), nil)
+		tr.Say("%-48q kind %d number %d id %q command %q cold %t took %d end %d length %d tag %q gauges %v error %v", line, n.kind,
+			n.number, n.id, n.command, n.cold, n.micros, n.end, n.length, n.tag, n.gauges, err)
+	}
+	tr.Say("%q", appendLaunch(nil, "9b1f03aa5c7e2d41", "look", []byte("a\r\nb")))
+	tr.Say("%q %q", appendSubscribe(nil, 12), appendSample(nil, 3))
+}
+
+func FuzzLines(f *testing.F) {
+	f.Add([]byte("outcome 7 9b1f03aa5c7e2d41 complete 18.5 40"))
+	f.Add([]byte("sampled t5 0.62 3 0.41 120"))
+	f.Fuzz(func(t *testing.T, line []byte) {
+		n, err := parse(line, nil)
+		if err == nil && (n.length < 0 || n.micros < 0 || n.kind == outcome && (n.number == 0 || len(n.id) == 0)) {
+			t.Fatalf("%q read as %+v", line, n)
+		}
+	})
+}
+
+// keep holds a link to the agent until the test ends.
+func keep(t *testing.T, a *standin.Agent) *Link {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := New(a.Address, limit.For(1, 192, 1024), func(bool, gate.Micros) {})
+	over := make(chan struct{})
+	go func() { l.Keep(ctx); close(over) }()
+	t.Cleanup(func() { cancel(); standin.Take(t, "the link's end", over) })
+	return l
+}
+
+// story runs what the agent does with one run and prints how it ended.
+func story(tr *standin.Trace, l *Link, a *standin.Agent, id, what string, do func()) {
+	run := l.Launch(id, "look", []byte("body"))
+	standin.Take(tr, "a launch", a.Launches)
+	do()
+	end := standin.Take(tr, "the end of "+what, run.Done())
+	tr.Say("%s: end %d, %d bytes %.12q, runs left %d", what, end.End, len(end.Result), end.Result, l.count())
+}
+
+func TestRuns(t *testing.T) {
+	tr := standin.NewTrace(t)
+	a := standin.NewAgent(t)
+	l := keep(t, a)
+	id := func(n int) string { return fmt.Sprintf("%016x", n) }
+	standin.Take(t, "the first link", a.Subscribes)
+	standin.Until(t, "the link is up", l.Up)
+	story(tr, l, a, id(1), "complete", func() { a.End(id(1), "complete", "result\r\n") })
+	story(tr, l, a, id(2), "empty result", func() { a.End(id(2), "complete", "") })
+	story(tr, l, a, id(3), "largest result", func() { a.End(id(3), "complete", strings.Repeat("r", 4096)) })
+	story(tr, l, a, id(4), "result too long", func() { a.End(id(4), "complete", strings.Repeat("r", 9000)) })
+	story(tr, l, a, id(5), "error", func() { a.End(id(5), "error", "") })
+	story(tr, l, a, id(6), "unknown", func() { a.End(id(6), "unknown", "") })
+	story(tr, l, a, id(7), "cancelled", func() { a.End(id(7), "cancelled", "") })
+	story(tr, l, a, id(8), "refusal", func() { a.Send("refusal launch " + id(8) + "\r\n") })
+	story(tr, l, a, id(9), "in pieces", func() {
+		for _, c := range "outcome 8 " + id(9) + " complete 3 4\r\nabcd\r\n" {
+			a.Send(string(c))
+		}
+	})
+	story(tr, l, a, id(10), "end of an unknown run before", func() {
+		a.End(id(99), "complete", "x")
+		a.Notice("aside %d a remark\r\n")
+		a.End(id(10), "complete", "mine")
+	})
+}
+
+// TestLinkLost: what the agent ended while there was no link is heard on the next one, once, and what it
+// never heard of is started there.
+func TestLinkLost(t *testing.T) {
+	tr := standin.NewTrace(t)
+	a := standin.NewAgent(t)
+	l := keep(t, a)
+	tr.Say("subscribe %d", standin.Take(t, "the first link", a.Subscribes))
+	standin.Until(t, "the link is up", l.Up)
+	one, two := l.Launch("00000000000000a1", "look", nil), l.Launch("00000000000000a2", "look", nil)
+	standin.Take(t, "a launch", a.Launches)
+	standin.Take(t, "a launch", a.Launches)
+	a.End("00000000000000a1", "complete", "first")
+	tr.Say("%q", standin.Take(t, "the first end", one.Done()).Result)
+	a.Cut()
+	a.End("00000000000000a2", "complete", "second")
+	tr.Say("%q", standin.Take(t, "the second end", two.Done()).Result)
+	tr.Say("subscribe %d", standin.Take(t, "the second link", a.Subscribes))
+
+	a.With(func(state, _ *string) { *state = "" })
+	a.Cut()
+	standin.Until(t, "the loss is seen", func() bool { return !l.Up() })
+	three := l.Launch("00000000000000a3", "look", nil)
+	tr.Say("subscribe %d, the agent is not up", standin.Take(t, "the third link", a.Subscribes))
+	a.With(func(state, _ *string) { *state = "hot 1" })
+	tr.Say("launched once it is: %+v", standin.Take(t, "the launch kept for the link", a.Launches))
+	a.End("00000000000000a3", "complete", "third")
+	tr.Say("%q, runs left %d", standin.Take(t, "the third end", three.Done()).Result, l.count())
+}
+
+// TestUnreadable: what cannot be read costs the link, and the run that it would have ended, no other; it must
+// not come again with each new link.
+func TestUnreadable(t *testing.T) {
+	tr := standin.NewTrace(t)
+	a := standin.NewAgent(t)
+	l := keep(t, a)
+	standin.Take(t, "the first link", a.Subscribes)
+	standin.Until(t, "the link is up", l.Up)
+	other := l.Launch("00000000000000b0", "look", nil)
+	standin.Take(t, "a launch", a.Launches)
+	for n, text := range []string{
+		"garbage\r\n", "outcome %d 00000000000000b%x melted 3 0\r\n\r\n", "outcome %d 00000000000000b%x complete 3 2\r\nabXX",
+		strings.Repeat("x", 3000), "sampled t1 x\r\n", "greeting hot 1\n",
+	} {
+		id := fmt.Sprintf("00000000000000b%x", n+1)
+		run := l.Launch(id, "look", nil)
+		standin.Take(t, "a launch", a.Launches)
+		if strings.HasPrefix(text, "outcome") {
+			a.Notice(strings.Replace(text, "%x", fmt.Sprintf("%x", n+1), 1))
+		} else {
+			a.Send(text)
+		}
+		tr.Say("%.50q: subscribe %d", text, standin.Take(t, "a new link", a.Subscribes))
+		standin.Until(t, "the link is up", l.Up)
+		if !strings.HasPrefix(text, "outcome") {
+			a.End(id, "complete", "")
+		}
+		tr.Say("  end %d", standin.Take(t, "the run's end", run.Done()).End)
+	}
+	a.End("00000000000000b0", "complete", "unharmed")
+	tr.Say("the other: %q, runs left %d", standin.Take(t, "its end", other.Done()).Result, l.count())
+}
+
+// TestSamples: a sample that never comes is not asked for again on the same link, and asking never blocks.
+func TestSamples(t *testing.T) {
+	a := standin.NewAgent(t)
+	l := keep(t, a)
+	standin.Until(t, "the link is up", l.Up)
+	standin.Take(t, "the first sample", l.Sampled())
+	a.With(func(_, gauges *string) { *gauges = "" })
+	for range 1000 {
+		l.Sample()
+	}
+	a.With(func(_, gauges *string) { *gauges = "0.5 7 0.1 1" })
+	a.Cut()
+	for deadline := time.Now().Add(5 * time.Second); ; {
+		if g := standin.Take(t, "a sample of the next link", l.Sampled()); len(g) == 4 && g[1] == 7 {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the gauges are never those of the agent")
+		}
+		l.Sample()
+	}
+}
--- a/farm/link.go
+++ b/farm/link.go
@@ -78,13 +78,15 @@
 	l.wake.Signal()
 }
 
-// Sample asks for the gauges, unless there is no link or an answer is still to come.
-func (l *Link) Sample() {
+// Sample asks for the gauges and tells whether it did: not without a link, nor while an answer is to come.
+func (l *Link) Sample() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.synced && !l.asked {
-		l.ask()
+	if !l.synced || l.asked {
+		return false
 	}
+	l.ask()
+	return true
 }
 
 func (l *Link) ask() {
--- /dev/null
+++ b/frame/frame_test.go
@@ -0,0 +1,98 @@
+package frame
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"milletbarrow/standin"
+)
+
+const bodyMost = 2048
+
+func show(inv Invocation, err error) string {
+	if err != nil {
+		return "error: " + err.Error()
+	}
+	return fmt.Sprintf("%s %s %s at %d wait %d retry %t keyed %t work %d kb %g rank %g body %.20q", inv.Operation, inv.ID,
+		inv.Tenant, inv.At, inv.Wait, inv.Retry, inv.Keyed, inv.Work, inv.KB, inv.Rank, inv.Body)
+}
+
+func usual(edits ...string) []string {
+	return standin.Usual(0xa1, append([]string{"at=1764576000123"}, edits...)...)
+}
+
+func TestInvocations(t *testing.T) {
+	tr := standin.NewTrace(t)
+	for _, c := range []struct {
+		what  string
+		edits []string
+	}{
+		{"as usual", nil}, {"retry", []string{"retry=1"}}, {"a key", []string{"key=7f3a9c21e0b4d655"}},
+		{"no expected work", []string{"cost="}}, {"no tenant", []string{"tenant="}}, {"an unknown field", []string{"hue=red"}},
+		{"wait of zero", []string{"wait=0"}}, {"huge wait", []string{"wait=99999999999999999999"}},
+		{"no class", []string{"class="}}, {"no id", []string{"id="}}, {"no at", []string{"at="}},
+		{"no wait", []string{"wait="}}, {"no kb", []string{"kb="}}, {"no rank", []string{"rank="}},
+		{"short id", []string{"id=12"}}, {"id that would break a line", []string{"id=0123456789abcd\r\n"}},
+		{"at is no number", []string{"at=soon"}}, {"negative wait", []string{"wait=-5"}}, {"wait of hex", []string{"wait=0x5"}},
+		{"wait with two points", []string{"wait=1.2.3"}}, {"rank of one", []string{"rank=1"}}, {"rank is NaN", []string{"rank=NaN"}},
+		{"no memory", []string{"kb=0"}}, {"too much memory", []string{"kb=2000"}}, {"from is no number", []string{"from=x"}},
+		{"cost is no number", []string{"cost=1e3"}},
+	} {
+		tr.Say("%s: %s", c.what, show(ReadInvocation([]byte(standin.Fields(usual(c.edits...)...)+"the body"), bodyMost)))
+	}
+	twice := standin.Fields(append(usual(), "wait=9")...)
+	tr.Say("a field twice: %s", show(ReadInvocation([]byte(twice), bodyMost)))
+	whole := standin.Fields(usual()...)
+	for _, size := range []int{0, bodyMost, bodyMost + 1} {
+		tr.Say("body of %d: %.60s", size, show(ReadInvocation([]byte(whole+strings.Repeat("x", size)), bodyMost)))
+	}
+	cut := map[string]int{}
+	for n := range len(whole) {
+		_, err := ReadInvocation([]byte(whole[:n]), bodyMost)
+		cut[fmt.Sprint(err)]++
+	}
+	tr.Say("cut at every byte of %d: %v", len(whole), cut)
+}
+
+func TestBordersAndAnswers(t *testing.T) {
+	tr := standin.NewTrace(t)
+	for _, n := range []uint32{0, 4, 5, 262_144, 262_145, 1<<32 - 1} {
+		size, err := Length(binary.BigEndian.AppendUint32(nil, n), 262_144)
+		tr.Say("length %d: %d %v", n, size, err)
+	}
+	tr.Say("%x", AppendAnswer(nil, 7, Succeeded, 0, false, []byte("result")))
+	tr.Say("%x", AppendAnswer(nil, 7, Throttled, 250_001, true, nil))
+	tr.Say("%x", AppendAnswer(nil, 8, Errored, 0, false, nil))
+	tr.Say("%x", AppendCheckAnswer(nil, 3, true))
+	tr.Say("%x", AppendCheckAnswer(nil, 3, false))
+	tr.Say("%x", AppendNoMore(nil))
+	tr.Say("%x", AppendError([]byte("before"), "odd"))
+	tr.Say("%+v", ReadHead([]byte(standin.Raw(12, 9, "ab"))))
+	tr.Say("fields alone: %v, cut short: %v", ReadFields([]byte(standin.Fields("a=b"))), ReadFields([]byte{1, 1, 'a', 0}))
+}
+
+// FuzzReadInvocation: whatever comes, what is accepted keeps within what was given and within the protocol.
+func FuzzReadInvocation(f *testing.F) {
+	whole := standin.Fields(usual("retry=1", "key=k")...)
+	f.Add([]byte(whole + "body"))
+	f.Add([]byte(whole[:40]))
+	f.Add([]byte{255, 0, 0, 0})
+	f.Fuzz(func(t *testing.T, p []byte) {
+		before := slices.Clone(p)
+		inv, err := ReadInvocation(p, bodyMost)
+		if !bytes.Equal(p, before) {
+			t.Fatal("the payload was changed")
+		}
+		if err != nil {
+			return
+		}
+		if !isID(inv.ID) || inv.At < 0 || inv.Wait < 0 || inv.Work < 0 || !(inv.KB > 0 && inv.KB < 2000) ||
+			!(inv.Rank >= 0 && inv.Rank < 1) || len(inv.Body) > bodyMost || !bytes.HasSuffix(p, inv.Body) {
+			t.Fatalf("accepted: %s", show(inv, err))
+		}
+	})
+}
--- a/gate/beat.go
+++ b/gate/beat.go
@@ -3,8 +3,10 @@
 import "time"
 
 // Beat ticks until done is closed. Before each tick it asks for a sample of the gauges and waits for it a
-// little while; a sample that is late still makes a tick, with the gauges known before.
-func (g *Gate) Beat(done <-chan struct{}, ask func(), sampled <-chan []float64) {
+// little while; a sample that is late still makes a tick, with the gauges known before. Ask tells whether a
+// sample is on its way; one that was late already is not waited for again, so that a silent farm does not
+// stretch the time between two ticks.
+func (g *Gate) Beat(done <-chan struct{}, ask func() bool, sampled <-chan []float64) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	sleep := func(span time.Duration, wake <-chan []float64) (gauges []float64, over bool) {
@@ -22,14 +24,19 @@
 		if _, over := sleep(time.Duration(next-Now())*time.Microsecond, nil); over {
 			return
 		}
-		select { // a late one of the tick before
-		case <-sampled:
+		var gauges []float64
+		select {
+		case gauges = <-sampled: // one that came late, for want of a newer
 		default:
 		}
-		ask()
-		gauges, over := sleep(g.bounds.SampleWait, sampled)
-		if over {
-			return
+		if ask() {
+			newer, over := sleep(g.bounds.SampleWait, sampled)
+			if over {
+				return
+			}
+			if newer != nil {
+				gauges = newer
+			}
 		}
 		next = g.Tick(gauges)
 	}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -114,6 +114,7 @@
 	}
 	t := g.sheet.Terms
 	t.JustStarted = cold
+	t.DrainGrace = max(0, t.DrainGrace-Micros(g.bounds.NoticeLate.Microseconds()))
 	g.backend = admit.New(t, g.seed)
 	if !cold {
 		ago = 0
--- /dev/null
+++ b/gate/gate_test.go
@@ -0,0 +1,143 @@
+package gate
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"milletbarrow/limit"
+	"milletbarrow/standin"
+	"milletbarrow/terms"
+)
+
+func open(t *testing.T) *Gate {
+	var sheet terms.Sheet
+	if err := json.Unmarshal([]byte(standin.Settings), &sheet); err != nil {
+		t.Fatal(err)
+	}
+	g := New(&sheet, 1, limit.For(1, 192, 1024))
+	g.Open(false, 0)
+	return g
+}
+
+var gone = func() <-chan struct{} { c := make(chan struct{}); close(c); return c }()
+
+func usual(id string) Invocation {
+	return Invocation{ID: id, Rank: 0.5, KB: 20, Work: 20_000, At: Now(), Wait: 4_000_000}
+}
+
+func say(tr *standin.Trace, what string, w Word, ticket *Ticket, g *Gate) {
+	tr.Say("%s: verdict %d away %t don't retry %t ticket %t, in hand %d", what, w.Verdict, w.Away > 0, w.DontRetry,
+		ticket != nil, g.InHand())
+}
+
+// TestVerdicts walks through what can become of one invocation.
+func TestVerdicts(t *testing.T) {
+	tr := standin.NewTrace(t)
+	g := open(t)
+	w, ticket := g.Pick(usual("a"))
+	say(tr, "idle cores", w, ticket, g)
+	same, none := g.Pick(usual("a"))
+	say(tr, "an id that is in hand", same, none, g)
+	tr.Say("its run succeeds: owed %t, in hand %d", g.Report(ticket, RunSucceeded), g.InHand())
+
+	_, ticket = g.Pick(usual("b"))
+	g.Report(ticket, CallerLeft)
+	tr.Say("the caller left: final word %+v", <-ticket.Final())
+	tr.Say("its run succeeds: owed %t, in hand %d", g.Report(ticket, RunSucceeded), g.InHand())
+
+	early := usual("c")
+	early.At -= 3_900_000 // due in 100 ms, of which the run on the farm knows nothing
+	_, ticket = g.Pick(early)
+	for len(ticket.Final()) == 0 {
+		g.Tick([]float64{0.5, 1, 0, 0})
+	}
+	late := Now() - (early.At + early.Wait)
+	tr.Say("due while it runs: final word %+v, too late %t", <-ticket.Final(), late > g.sheet.Terms.AnswerSlack)
+	tr.Say("its run succeeds after all: owed %t, in hand %d", g.Report(ticket, RunSucceeded), g.InHand())
+
+	fault := usual("d")
+	fault.Operation = 99 // the module indexes its operations with it
+	w, ticket = g.Pick(fault)
+	say(tr, "a panic in the module", w, ticket, g)
+	w, ticket = g.Pick(usual("e"))
+	say(tr, "the next after it", w, ticket, g)
+	g.Report(ticket, RunErrored)
+
+	n := 0
+	standin.Until(t, "the queue is beyond the threshold", func() bool {
+		g.Tick([]float64{1, 20, 0.1, 1})
+		n++
+		inv := usual(fmt.Sprint("f", n))
+		inv.Left = gone // it does not wait in line
+		if w, ticket = g.Pick(inv); ticket != nil {
+			g.Report(ticket, NeverRan)
+		}
+		return w.Verdict == Throttled
+	})
+	say(tr, "crowded cores", w, ticket, g)
+	g.Drain(5_000_000)
+	tr.Say("draining: good %t", g.Good())
+}
+
+// TestUsedUpAndLeft: nothing is kept for callers that have gone or never waited.
+func TestUsedUpAndLeft(t *testing.T) {
+	tr := standin.NewTrace(t)
+	g := open(t)
+	g.Tick([]float64{1, 2.4, 0.1, 1}) // no room for a start; the queue is not yet long
+	inv := usual("a")
+	inv.Left = gone
+	w, ticket := g.Pick(inv)
+	say(tr, "left while held", w, ticket, g)
+	g = open(t)
+	for _, wait := range []Micros{0, -5_000_000, 1 << 55} {
+		inv := usual(fmt.Sprint("wait", wait))
+		inv.Wait = wait
+		w, ticket := g.Pick(inv)
+		for ticket != nil && wait <= 0 && len(ticket.Final()) == 0 {
+			g.Tick(nil)
+		}
+		say(tr, fmt.Sprint("wait of ", wait), w, ticket, g)
+		if ticket != nil {
+			g.Report(ticket, RunSucceeded)
+		}
+	}
+	inv = usual("future")
+	inv.At += 60_000_000
+	w, ticket = g.Pick(inv)
+	say(tr, "at is a minute ahead", w, ticket, g)
+	g.Report(ticket, RunSucceeded)
+	tr.Say("in hand %d", g.InHand())
+}
+
+// TestShut: before the farm is there nothing can run, and the backend is not good.
+func TestShut(t *testing.T) {
+	tr := standin.NewTrace(t)
+	shut := New(&terms.Sheet{}, 1, limit.For(1, 192, 1024))
+	w, ticket := shut.Pick(usual("a"))
+	say(tr, "not open", w, ticket, shut)
+	tr.Say("good %t, next tick %t", shut.Good(), shut.Tick(nil) > 0)
+	shut.Drain(1000)
+	g := open(t)
+	tr.Say("open: good %t", g.Good())
+	_, ticket = g.Pick(usual("b"))
+	g.Open(true, 0) // the next link's greeting
+	tr.Say("greeted again: owed %t, good %t", g.Report(ticket, RunSucceeded), g.Good())
+}
+
+// TestBeatWithoutSamples: the timer never hangs on the farm; what is due is answered though no sample comes.
+func TestBeatWithoutSamples(t *testing.T) {
+	tr := standin.NewTrace(t)
+	g := open(t)
+	done, over := make(chan struct{}), make(chan struct{})
+	asked := 0
+	go func() { g.Beat(done, func() bool { asked++; return true }, nil); close(over) }()
+	inv := usual("a")
+	inv.Wait = 300_000
+	_, ticket := g.Pick(inv)
+	w := standin.Take(t, "the final word", ticket.Final())
+	tr.Say("verdict %d, in time %t", w.Verdict, Now() < inv.At+inv.Wait+g.sheet.Terms.AnswerSlack)
+	close(done)
+	standin.Take(t, "the end of the beat", over)
+	tr.Say("asked %t", asked > 0)
+}
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -30,13 +30,15 @@
 	SampleOld  time.Duration // gauges older than this are not told
 	RedialLeast,
 	RedialMost time.Duration // between two tries to reach the farm
-	Dial      time.Duration // one try
-	Report    time.Duration // between two reports to the roster
-	Call      time.Duration // one report
-	Unread    time.Duration // a peer that takes nothing for so long is gone
-	Sweep     time.Duration // between two looks at idle connections
-	Quiet     time.Duration // between two log lines on the state
-	LastWords time.Duration // before the stop, all is flushed and closed
+	Dial   time.Duration // one try
+	Report time.Duration // between two reports to the roster
+	Call   time.Duration // one report
+	Unread time.Duration // a peer that takes nothing for so long is gone
+	Sweep  time.Duration // between two looks at idle connections
+	Quiet  time.Duration // between two log lines on the state
+	// A process that is held up hears a notice late; so much of the grace after it is not used.
+	NoticeLate time.Duration
+	LastWords  time.Duration // before the stop, all is flushed and closed
 }
 
 // For works the bounds out from a process's share of cores, its memory in MB and its descriptors.
@@ -71,7 +73,8 @@
 		Unread:      10 * time.Second,
 		Sweep:       500 * time.Millisecond,
 		Quiet:       10 * time.Second,
-		LastWords:   60 * time.Millisecond,
+		NoticeLate:  100 * time.Millisecond,
+		LastWords:   10 * time.Millisecond,
 	}
 	b.Content = b.Body + 8<<10
 	b.Unsent = 2 * b.Streams * (b.Result + 256)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -29,7 +29,8 @@
 	return &Reporter{
 		url: "http://" + address + "/roster/" + url.PathEscape(name), bounds: bounds, off: make(chan struct{}),
 		client: &http.Client{
-			Timeout: bounds.Call,
+			Timeout:       bounds.Call,
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 			Transport: &http.Transport{
 				MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, DisableCompression: true, IdleConnTimeout: 4 * bounds.Report,
 				MaxResponseHeaderBytes: int64(bounds.Line),
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,63 @@
+package roster
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"milletbarrow/limit"
+	"milletbarrow/standin"
+)
+
+// TestReports: reports go on whatever becomes of one, and the last says off.
+func TestReports(t *testing.T) {
+	tr := standin.NewTrace(t)
+	for _, c := range []struct {
+		how  string
+		does http.HandlerFunc
+	}{
+		{"as it should", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }},
+		{"closing after each call", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusNoContent)
+		}},
+		{"another status", func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "no", http.StatusServiceUnavailable) }},
+		{"a redirect", func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/elsewhere", http.StatusFound) }},
+		{"cut off", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }},
+		{"too slow", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }},
+	} {
+		b := limit.For(1, 192, 1024)
+		b.Report, b.Call = 10*time.Millisecond, 30*time.Millisecond
+		address, reports := standin.NewRoster(t, c.does)
+		r := New(address, "n3", b)
+		over := make(chan struct{})
+		go func() { r.Keep(context.Background()); close(over) }()
+		for range 3 {
+			tr.Say("%s: %s", c.how, standin.Take(t, "a report", reports))
+		}
+		r.Off()
+		r.Off()
+		standin.Take(t, "the end", over)
+		last := ""
+		for len(reports) > 0 {
+			last = <-reports
+		}
+		tr.Say("%s: the last: %s", c.how, last)
+	}
+}
+
+// TestDown: a roster that is not there holds nothing up.
+func TestDown(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	r := New(l.Addr().String(), "n3", limit.For(1, 192, 1024))
+	over := make(chan struct{})
+	go func() { r.Keep(context.Background()); close(over) }()
+	r.Off()
+	standin.Take(t, "the end", over)
+}
--- a/terms/backend.go
+++ b/terms/backend.go
@@ -59,7 +59,7 @@
 func Parse(raw []byte) (*Backend, error) {
 	var b Backend
 	if err := json.Unmarshal(raw, &b); err != nil {
-		return nil, err
+		return nil, fmt.Errorf("not a configuration: %w", err)
 	}
 	return &b, b.check()
 }
