--- a/cmd/milletbarrow/main.go
+++ b/cmd/milletbarrow/main.go
@@ -142,7 +142,7 @@
 	}
 	stop := time.Now().Add(time.Duration(b.StopMs * float64(time.Millisecond)))
 	grace := time.Now().Add(time.Duration(b.Sheet.Terms.DrainGrace) * time.Microsecond)
-	log.Printf("event=drain stop_ms=%g in_hand=%d", b.StopMs, g.InHand())
+	log.Printf("event=drain stop_ms=%g", b.StopMs)
 	g.Drain(terms.Micros(b.StopMs))
 	reports.Off()
 	leave(server, g, grace, stop.Add(-lim.LastWords))
@@ -170,8 +170,7 @@
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
-	conns, carried := server.Counts()
-	log.Printf("event=stop connections=%d carried=%d in_hand=%d", conns, carried, g.InHand())
+	state("stop", server, g)
 }
 
 // tell logs the state now and then.
@@ -184,10 +183,17 @@
 			return
 		case <-every.C:
 		}
-		var m runtime.MemStats
-		runtime.ReadMemStats(&m)
-		conns, carried := server.Counts()
-		log.Printf("event=state connections=%d carried=%d in_hand=%d goroutines=%d heap_kb=%d system_kb=%d collections=%d",
-			conns, carried, g.InHand(), runtime.NumGoroutine(), m.HeapAlloc>>10, m.Sys>>10, m.NumGC)
+		state("state", server, g)
 	}
 }
+
+func state(event string, server *edge.Server, g *gate.Gate) {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	conns, carried := server.Counts()
+	n, inHand := g.Counts()
+	log.Printf("event=%s connections=%d carried=%d in_hand=%d goroutines=%d heap_kb=%d system_kb=%d collections=%d "+
+		"picked=%d used_up=%d run=%d throttled=%d errored=%d left=%d ticks=%d unsampled=%d faults=%d",
+		event, conns, carried, inHand, runtime.NumGoroutine(), m.HeapAlloc>>10, m.Sys>>10, m.NumGC,
+		n.Picked, n.UsedUp, n.Run, n.Throttled, n.Errored, n.Left, n.Ticks, n.Unsampled, n.Faults)
+}
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -50,6 +50,11 @@
 	return &site{s, agent, address.String()}
 }
 
+func (s *site) inGate() int {
+	_, n := s.gate.Counts()
+	return n
+}
+
 // run ends the next run that the farm is told of.
 func (s *site) run(t testing.TB, word, result string) standin.Launch {
 	l := standin.Take(t, "a launch", s.agent.Launches)
@@ -65,7 +70,7 @@
 			s.run(t, "complete", "nobody waits")
 		}
 		n, carried := s.Counts()
-		return n == conns && carried == 0 && s.gate.InHand() == 0 && s.unsent.Load() == 0 && s.Quiet()
+		return n == conns && carried == 0 && s.inGate() == 0 && s.unsent.Load() == 0 && s.Quiet()
 	})
 }
 
@@ -183,11 +188,11 @@
 	asked := s.agent.Samples()                                        // each is asked for after the tick of the one before
 	standin.Until(t, "full cores are seen", func() bool { return s.agent.Samples() >= asked+3 })
 	n.Send(standin.Invocation(4, 4))
-	standin.Until(t, "it is held", func() bool { return s.gate.InHand() == 1 })
+	standin.Until(t, "it is held", func() bool { return s.inGate() == 1 })
 	n.Send(standin.Raw(12, 4, ""))
 	s.rests(t, 1)
 	n.Send(standin.Invocation(5, 5), standin.Invocation(6, 6)[:40])
-	standin.Until(t, "it is held", func() bool { return s.gate.InHand() == 1 })
+	standin.Until(t, "it is held", func() bool { return s.inGate() == 1 })
 	n.Close()
 	s.rests(t, 0)
 	tr.Say("launches of what was only held: %d", len(s.agent.Launches))
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -95,7 +95,22 @@
 	drained bool   // the notice has come
 	gauges  []float64
 	asOf    Micros
-	faults  int
+	counts  Counts
+}
+
+// Counts are what has passed since the start.
+type Counts struct {
+	Picked, UsedUp           int // invocations, and those whose caller had stopped waiting when they were read
+	Run, Throttled, Errored  int
+	Left                     int // callers known to have gone
+	Ticks, Unsampled, Faults int // ticks, those that had no fresh sample, panics of the module
+}
+
+// Counts tells what has passed, and how many invocations are held or on the farm.
+func (g *Gate) Counts() (Counts, int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.counts, len(g.hand)
 }
 
 // New makes a gate that throttles everything until Open.
@@ -153,6 +168,10 @@
 		return t
 	}
 	g.hand[inv.ID] = t
+	g.counts.Picked++
+	if t.due <= now {
+		g.counts.UsedUp++
+	}
 	fault := g.decide(now, admit.Arrived{
 		ID: inv.ID, Operation: inv.Operation, Tenant: inv.Tenant, Rank: inv.Rank, Retry: inv.Retry, Keyed: inv.Keyed,
 		Hint: inv.Work, Waited: max(0, now-inv.At),
@@ -192,6 +211,10 @@
 	if g.backend == nil {
 		return now + g.sheet.Terms.AnswerSlack/3
 	}
+	g.counts.Ticks++
+	if gauges == nil {
+		g.counts.Unsampled++
+	}
 	if gauges != nil {
 		g.gauges, g.asOf = append(g.gauges[:0], gauges...), now
 	} else if now-g.asOf > Micros(g.bounds.SampleOld.Microseconds()) {
@@ -247,13 +270,6 @@
 	return time.Duration(g.idle) * time.Microsecond
 }
 
-// InHand counts the invocations that are held or on the farm.
-func (g *Gate) InHand() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return len(g.hand)
-}
-
 // answer gives t its final word, once.
 func (g *Gate) answer(t *Ticket, w Word) {
 	if t.answered {
@@ -261,6 +277,14 @@
 	}
 	t.answered = true
 	t.words <- w
+	switch w.Verdict {
+	case Throttled:
+		g.counts.Throttled++
+	case Errored:
+		g.counts.Errored++
+	case Left:
+		g.counts.Left++
+	}
 	if !t.running {
 		delete(g.hand, t.id)
 	}
@@ -274,7 +298,7 @@
 	}
 	defer func() {
 		if r := recover(); r != nil {
-			g.faults++
+			g.counts.Faults++
 			err = fmt.Errorf("%v", r)
 			log.Printf("event=fault in=%T text=%q stack=%q", ev, err, debug.Stack())
 		}
@@ -291,6 +315,7 @@
 	case admit.Start:
 		if t := g.hand[a.ID]; t != nil && !t.running && !t.answered {
 			t.running = true
+			g.counts.Run++
 			t.words <- Word{Verdict: Run}
 		}
 	case admit.Throttle:
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -20,6 +20,11 @@
 	return g
 }
 
+func inHand(g *Gate) int {
+	_, n := g.Counts()
+	return n
+}
+
 var gone = func() <-chan struct{} { c := make(chan struct{}); close(c); return c }()
 
 func usual(id string) Invocation {
@@ -28,7 +33,7 @@
 
 func say(tr *standin.Trace, what string, w Word, ticket *Ticket, g *Gate) {
 	tr.Say("%s: verdict %d away %t don't retry %t ticket %t, in hand %d", what, w.Verdict, w.Away > 0, w.DontRetry,
-		ticket != nil, g.InHand())
+		ticket != nil, inHand(g))
 }
 
 // TestVerdicts walks through what can become of one invocation.
@@ -39,12 +44,12 @@
 	say(tr, "idle cores", w, ticket, g)
 	same, none := g.Pick(usual("a"))
 	say(tr, "an id that is in hand", same, none, g)
-	tr.Say("its run succeeds: owed %t, in hand %d", g.Report(ticket, RunSucceeded), g.InHand())
+	tr.Say("its run succeeds: owed %t, in hand %d", g.Report(ticket, RunSucceeded), inHand(g))
 
 	_, ticket = g.Pick(usual("b"))
 	g.Report(ticket, CallerLeft)
 	tr.Say("the caller left: final word %+v", <-ticket.Final())
-	tr.Say("its run succeeds: owed %t, in hand %d", g.Report(ticket, RunSucceeded), g.InHand())
+	tr.Say("its run succeeds: owed %t, in hand %d", g.Report(ticket, RunSucceeded), inHand(g))
 
 	early := usual("c")
 	early.At -= 3_900_000 // due in 100 ms, of which the run on the farm knows nothing
@@ -54,7 +59,7 @@
 	}
 	late := Now() - (early.At + early.Wait)
 	tr.Say("due while it runs: final word %+v, too late %t", <-ticket.Final(), late > g.sheet.Terms.AnswerSlack)
-	tr.Say("its run succeeds after all: owed %t, in hand %d", g.Report(ticket, RunSucceeded), g.InHand())
+	tr.Say("its run succeeds after all: owed %t, in hand %d", g.Report(ticket, RunSucceeded), inHand(g))
 
 	fault := usual("d")
 	fault.Operation = 99 // the module indexes its operations with it
@@ -107,7 +112,7 @@
 	w, ticket = g.Pick(inv)
 	say(tr, "at is a minute ahead", w, ticket, g)
 	g.Report(ticket, RunSucceeded)
-	tr.Say("in hand %d", g.InHand())
+	tr.Say("in hand %d", inHand(g))
 }
 
 // TestShut: before the farm is there nothing can run, and the backend is not good.
