--- a/cmd/milletbarrow/main_test.go
+++ b/cmd/milletbarrow/main_test.go
@@ -157,15 +157,24 @@
 	tr.Say("roster: %s, launches left %d", last, len(b.agent.Launches))
 }
 
-// TestDrainOfWhatNeverEnds: all is answered before the stop, though the farm is silent or gone.
+// TestDrainOfWhatNeverEnds: all is answered before the stop, though the farm is full, silent or gone.
 func TestDrainOfWhatNeverEnds(t *testing.T) {
 	tr := standin.NewTrace(t)
-	for _, gone := range []bool{false, true} {
+	for _, farm := range []string{"silent", "full", "gone"} {
 		b := prepare(t).start().ready()
 		n := standin.Dial(t, b.address)
-		n.Send(standin.Invocation(1, 1), standin.Invocation(2, 2), standin.Invocation(3, 3))
+		n.Send(standin.Invocation(1, 1))
 		standin.Take(t, "a launch", b.agent.Launches)
-		if gone {
+		if farm == "full" { // so that the others wait in line
+			asked := b.agent.Samples()
+			b.agent.With(func(_, gauges *string) { *gauges = "0.5 9 0.1 1" })
+			standin.Until(t, "full cores are seen", func() bool { return b.agent.Samples() >= asked+3 })
+		}
+		n.Send(standin.Invocation(2, 2), standin.Invocation(3, 3))
+		if farm != "full" {
+			standin.Take(t, "a launch", b.agent.Launches)
+		}
+		if farm == "gone" {
 			b.agent.With(func(state, _ *string) { *state = "" })
 			b.agent.Cut()
 			standin.Until(t, "the link is lost", b.said("event=farm_lost"))
@@ -177,7 +186,7 @@
 				codes = append(codes, f.Code)
 			}
 		}
-		tr.Say("farm gone %t: %d answers before the stop %t", gone, len(codes), time.Since(since) < 1500*time.Millisecond)
+		tr.Say("farm %s: %d answers before the stop %t", farm, len(codes), time.Since(since) < 1500*time.Millisecond)
 		b.exit(tr, since)
 	}
 }
@@ -265,6 +274,47 @@
 	})
 }
 
+// TestPressure: as many invocations as the process holds, with the largest bodies and results, and callers that
+// read nothing until the end. What it cannot hold is throttled, nothing is dropped, and nothing is left over.
+func TestPressure(t *testing.T) {
+	tr := standin.NewTrace(t)
+	b := prepare(t, `"n_cores":2`, `"n_cores":5000`, `"mem_limit_kb":90000`, `"mem_limit_kb":90000000`).start().ready()
+	b.agent.With(func(_, gauges *string) { *gauges = "0.1 0 0.1 1" })
+	var nodes []*standin.Node
+	for k := range 110 {
+		n := standin.Dial(t, b.address)
+		nodes = append(nodes, n)
+		for stream := range 32 {
+			number := k*32 + stream
+			n.Send(standin.Raw(10, uint32(stream+1), standin.Fields(standin.Usual(number, "wait=60000")...)+strings.Repeat("b", 2048)))
+		}
+	}
+	held := 0
+	for ; held < 3072; held++ {
+		standin.Take(t, "a launch", b.agent.Launches)
+	}
+	for number := range 110 * 32 {
+		b.agent.End(fmt.Sprintf("%016x", number), "complete", strings.Repeat("r", 4096))
+	}
+	codes := map[byte]int{}
+	for _, n := range nodes {
+		for range 32 {
+			codes[n.Expect().Code]++
+		}
+		n.Close()
+	}
+	tr.Say("answers by code: %v", codes)
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", b.cmd.Process.Pid))
+	var peak int
+	if m := regexp.MustCompile(`VmHWM:\s+(\d+) kB`).FindSubmatch(status); m != nil {
+		fmt.Sscan(string(m[1]), &peak)
+	}
+	t.Logf("most memory: %d kB", peak)
+	tr.Say("%v, memory within 192 MB %t", err, peak > 0 && peak < 192<<10)
+	b.exit(tr, b.term())
+	tr.Say("left over %t", !b.said("event=stop connections=0 carried=0 in_hand=0 ")())
+}
+
 func TestCommands(t *testing.T) {
 	tr := standin.NewTrace(t)
 	for _, edit := range []string{
