--- a/cmd/milletbarrow/main.go
+++ b/cmd/milletbarrow/main.go
@@ -119,8 +119,18 @@
 	link := farm.New(b.Agent, lim, g.Open)
 	server := edge.New(b.Sheet, lim, g, link)
 	reports := roster.New(b.Roster, b.Name, lim)
-	if _, err := server.Listen(b.Listen); err != nil {
-		return fmt.Errorf("listen: %w", err)
+	for tried, late := false, time.Now().Add(lim.Bind); ; time.Sleep(lim.Rebind) {
+		_, err := server.Listen(b.Listen)
+		if err == nil {
+			break
+		}
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(late) {
+			return fmt.Errorf("listen: %w", err)
+		}
+		if !tried {
+			log.Printf("event=listen_taken address=%s", b.Listen)
+		}
+		tried = true
 	}
 	log.Printf("event=start name=%s listen=%s processors=%d connections=%d invocations=%d",
 		b.Name, b.Listen, lim.Processors, lim.Connections, lim.Invocations)
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -30,12 +30,15 @@
 	SampleOld  time.Duration // gauges older than this are not told
 	RedialLeast,
 	RedialMost time.Duration // between two tries to reach the farm
-	Dial   time.Duration // one try
-	Report time.Duration // between two reports to the roster
-	Call   time.Duration // one report
-	Unread time.Duration // a peer that takes nothing for so long is gone
-	Sweep  time.Duration // between two looks at idle connections
-	Quiet  time.Duration // between two log lines on the state
+	Dial    time.Duration // one try
+	Report  time.Duration // between two reports to the roster
+	Call    time.Duration // one report; as long as an entry lasts, so that a slow roster still counts it
+	Reports int           // on their way at once
+	Bind    time.Duration // an address that is still taken, by one just killed, is tried for so long,
+	Rebind  time.Duration // so often
+	Unread  time.Duration // a peer that takes nothing for so long is gone
+	Sweep   time.Duration // between two looks at idle connections
+	Quiet   time.Duration // between two log lines on the state
 	// A process that is held up hears a notice late; so much of the grace after it is not used.
 	NoticeLate time.Duration
 	LastWords  time.Duration // before the stop, all is flushed and closed
@@ -66,10 +69,13 @@
 		SampleWait:  20 * time.Millisecond,
 		SampleOld:   300 * time.Millisecond,
 		RedialLeast: 20 * time.Millisecond,
-		RedialMost:  500 * time.Millisecond,
+		RedialMost:  100 * time.Millisecond,
 		Dial:        time.Second,
 		Report:      700 * time.Millisecond,
-		Call:        700 * time.Millisecond,
+		Call:        2800 * time.Millisecond,
+		Reports:     4,
+		Bind:        5 * time.Second,
+		Rebind:      20 * time.Millisecond,
 		Unread:      10 * time.Second,
 		Sweep:       500 * time.Millisecond,
 		Quiet:       10 * time.Second,
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -15,24 +15,29 @@
 	"milletbarrow/limit"
 )
 
-// Reporter reports at intervals, from its own goroutine; nothing waits for it.
+// Reporter reports at intervals; nothing waits for it. A report does not wait for the one before: a roster that
+// takes longer than the interval to answer must not cost the entry.
 type Reporter struct {
 	url    string
 	bounds limit.Bounds
 	client *http.Client
 	off    chan struct{}
 	once   sync.Once
+	room   chan struct{} // holds one for each report on its way
+	mu     sync.Mutex
+	ill    bool // the last report to end did not arrive
 }
 
 // New makes a reporter for the backend of that name.
 func New(address, name string, bounds limit.Bounds) *Reporter {
 	return &Reporter{
 		url: "http://" + address + "/roster/" + url.PathEscape(name), bounds: bounds, off: make(chan struct{}),
+		room: make(chan struct{}, bounds.Reports),
 		client: &http.Client{
 			Timeout:       bounds.Call,
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 			Transport: &http.Transport{
-				MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, DisableCompression: true, IdleConnTimeout: 4 * bounds.Report,
+				MaxConnsPerHost: bounds.Reports, MaxIdleConnsPerHost: 1, DisableCompression: true, IdleConnTimeout: 4 * bounds.Report,
 				MaxResponseHeaderBytes: int64(bounds.Line),
 			},
 		},
@@ -42,31 +47,45 @@
 // Off makes the next report, sent at once, the last: the entry lapses after it.
 func (r *Reporter) Off() { r.once.Do(func() { close(r.off) }) }
 
-// Keep reports until Off, or until the context ends.
+// Keep reports until Off, or until the context ends, and then waits for what is on its way.
 func (r *Reporter) Keep(ctx context.Context) {
 	defer r.client.CloseIdleConnections()
-	due := time.NewTimer(0)
+	var going sync.WaitGroup
+	defer going.Wait()
+	due := time.NewTicker(r.bounds.Report)
 	defer due.Stop()
-	well := true
-	for {
-		duty := "on"
+	for duty := "on"; ; {
 		select {
+		case r.room <- struct{}{}:
+			said := duty
+			going.Go(func() {
+				r.tell(ctx, said)
+				<-r.room
+			})
 		case <-ctx.Done():
 			return
-		case <-r.off:
-			duty = "off"
-		case <-due.C:
-		}
-		began := time.Now()
-		err := r.report(ctx, duty)
-		if ctx.Err() == nil && (err == nil) != well {
-			well = err == nil
-			log.Printf("event=roster reported=%t error=%q", well, fmt.Sprint(err))
 		}
 		if duty == "off" {
 			return
 		}
-		due.Reset(max(0, r.bounds.Report-time.Since(began)))
+		select {
+		case <-due.C:
+		case <-r.off:
+			duty = "off"
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// tell makes one report and logs it if it fares other than the one before.
+func (r *Reporter) tell(ctx context.Context, duty string) {
+	err := r.report(ctx, duty)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if ill := err != nil; ill != r.ill && ctx.Err() == nil {
+		r.ill = ill
+		log.Printf("event=roster reported=%t error=%q", !ill, fmt.Sprint(err))
 	}
 }
 
