--- /dev/null
+++ b/terms/terms_test.go
@@ -0,0 +1,35 @@
+package terms
+
+import (
+	"strings"
+	"testing"
+
+	"milletbarrow/standin"
+)
+
+// FuzzParse: whatever a configuration holds, it is refused or can be used as it stands.
+func FuzzParse(f *testing.F) {
+	whole := `{"name":"n3","listen":"127.0.0.1:1","agent":"127.0.0.1:2","roster":"127.0.0.1:3","seed":"8c1f30d27a5be964",
+		"stop_ms":1500,"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"settings":` + standin.Settings + `}`
+	if _, err := Parse([]byte(whole)); err != nil {
+		f.Fatal(err)
+	}
+	f.Add(whole)
+	f.Add(strings.Replace(whole, "2000", "1e300", 1))
+	f.Add(strings.Replace(whole, `"projects":[`, `"projects":[{},`, 1))
+	f.Add(`{"settings":null}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		b, err := Parse([]byte(text))
+		if err != nil {
+			return
+		}
+		for n, op := range b.Sheet.Terms.Operations {
+			if op.Objective <= 0 || op.ClientTimeout <= 0 || strings.ContainsAny(b.Sheet.Operations[n], " \r\n") {
+				t.Fatalf("operation %d accepted: %+v", n, op)
+			}
+		}
+		if len(b.Sheet.Tenants) != len(b.Sheet.Terms.QuotaPerSecond) || !(b.StopMs > 0) || !(b.Limits.MemoryMB > 0) {
+			t.Fatalf("accepted: %+v", b)
+		}
+	})
+}
