--- a/farm/link.go
+++ b/farm/link.go
@@ -48,8 +48,6 @@
 	synced bool   // all notices from before this link have been read
 	tag    uint64 // of the last sample asked for
 	asked  bool   // and it has not come
-	up     bool
-	faults int
 }
 
 // New makes a link; greeted is called at each greeting.
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -9,38 +9,45 @@
 
 // Bounds are the limits of one process.
 type Bounds struct {
+	// The process.
 	Processors  int   // that run Go code at once
 	Heap        int64 // bytes, the soft limit
 	HeapGrowth  int   // percent between two collections, while under that limit
 	Connections int   // of edge nodes, open at once
 	Invocations int   // read and not answered, or answered and still on the farm
 
-	Streams    int   // open on one connection
-	Frame      int   // bytes of a frame after its length, by the protocol
-	Content    int   // bytes of a frame that can be an invocation; what is longer is skipped unread
-	Body       int   // bytes of an invocation's body
-	Result     int   // bytes of a run's result
-	Unsent     int   // bytes of answers that a connection's peer leaves unread
-	UnsentAll  int64 // the same for all connections together
-	Spare      int   // bytes of a buffer kept for the next answers
-	Line       int   // bytes of a line from the farm, without what follows it
-	Opinions   int   // lines logged of one kind in one Quiet
-	AwayMost   time.Duration
-	SampleWait time.Duration // a tick waits so long for its sample
-	SampleOld  time.Duration // gauges older than this are not told
-	RedialLeast,
-	RedialMost time.Duration // between two tries to reach the farm
-	Dial    time.Duration // one try
-	Report  time.Duration // between two reports to the roster
+	// Messages, in bytes unless said otherwise.
+	Streams   int   // invocations open on one connection
+	Frame     int   // a frame after its length, by the protocol
+	Content   int   // a frame that can be an invocation; what is longer is skipped unread
+	Body      int   // an invocation's body
+	Result    int   // a run's result
+	Line      int   // a line from the farm, without what follows it
+	Unsent    int   // answers that one connection's peer leaves unread
+	UnsentAll int64 // the same for all connections together
+	Spare     int   // a buffer that is kept for the next answers
+
+	// The farm.
+	SampleWait  time.Duration // a tick waits so long for its sample
+	SampleOld   time.Duration // gauges older than this are not told
+	Dial        time.Duration // one try to reach it
+	RedialLeast time.Duration // between the first two tries; it doubles
+	RedialMost  time.Duration // up to this
+
+	// The roster.
+	Report  time.Duration // between two reports
 	Call    time.Duration // one report; as long as an entry lasts, so that a slow roster still counts it
 	Reports int           // on their way at once
-	Bind    time.Duration // an address that is still taken, by one just killed, is tried for so long,
-	Rebind  time.Duration // so often
-	Unread  time.Duration // a peer that takes nothing for so long is gone
-	Sweep   time.Duration // between two looks at idle connections
-	Quiet   time.Duration // between two log lines on the state
-	// A process that is held up hears a notice late; so much of the grace after it is not used.
-	NoticeLate time.Duration
+
+	// Edge nodes.
+	Bind   time.Duration // an address that is still taken, by one just killed, is tried for so long,
+	Rebind time.Duration // so often
+	Unread time.Duration // a peer that takes nothing for so long is gone
+	Sweep  time.Duration // between two looks at idle connections
+
+	// The life of the process.
+	Quiet      time.Duration // between two log lines on the state, or on odd input of one kind
+	NoticeLate time.Duration // a notice may be heard so late; that much of the grace is not used
 	LastWords  time.Duration // before the stop, all is flushed and closed
 }
 
@@ -48,9 +55,9 @@
 func For(cores, memoryMB float64, sockets int) Bounds {
 	const (
 		mb      = 1 << 20
-		spare   = 24 // descriptors of the farm, the roster, the pollers and the standard streams
-		perInv  = 16 << 10
-		perConn = 48 << 10
+		spare   = 24       // descriptors of the farm, the roster, the pollers and the standard streams
+		perInv  = 16 << 10 // bytes: goroutine, body, result, and the answer until it is written
+		perConn = 48 << 10 // bytes: netpoll's buffers and ours
 	)
 	b := Bounds{
 		// One more than the cores: the poller of edge connections sleeps inside a system call, and what
@@ -65,7 +72,6 @@
 		Result:  4 << 10,
 		Line:    1 << 10,
 
-		AwayMost:    time.Hour,
 		SampleWait:  20 * time.Millisecond,
 		SampleOld:   300 * time.Millisecond,
 		RedialLeast: 20 * time.Millisecond,
@@ -86,7 +92,7 @@
 	b.Unsent = 2 * b.Streams * (b.Result + 256)
 	b.UnsentAll = int64(memoryMB * mb / 8)
 	b.Spare = 16 << 10
-	room := memoryMB * mb / 4
+	room := memoryMB * mb / 4 // for connections, and as much for invocations; the rest is headroom for collections
 	b.Connections = max(1, min(sockets-spare, int(room/perConn)))
 	b.Invocations = max(1, min(b.Connections*b.Streams, int(room/perInv)))
 	return b
