--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -218,9 +218,8 @@
 
 // TestSlowPeer: a caller that reads nothing stalls nobody and is cut off when it goes on sending.
 func TestSlowPeer(t *testing.T) {
-	s := open(t, func(b *limit.Bounds, _ *terms.Sheet) { b.Unsent = 64 << 10 })
+	s := open(t, func(b *limit.Bounds, _ *terms.Sheet) { b.Unsent = 1 << 20 })
 	slow, other := standin.Dial(t, s.address), standin.Dial(t, s.address)
-	slow.Conn.(*net.TCPConn).SetReadBuffer(4 << 10)
 	checks := strings.Repeat(standin.Raw(20, 1, "\x00"), 4000)
 	slow.SetWriteDeadline(time.Now().Add(10 * time.Second))
 	for range 2000 {
