Decide what arrives after a hold-up by fresh gauges

At fault: gate.Pick decided the crowd of arrivals by the gauges from before the stop, while the ends of runs stood unread on the link. Now arrivals wait for the next tick, 40 ms at most, if the last is over 60 ms past; its sample follows those ends; a sample from before the stop is asked for again.

--- a/gate/beat.go
+++ b/gate/beat.go
@@ -29,14 +29,18 @@
 		case gauges = <-sampled: // one that came late, for want of a newer
 		default:
 		}
-		if ask() {
+		for asked := Now(); ask(); asked = Now() {
 			newer, over := sleep(g.bounds.SampleWait, sampled)
 			if over {
 				return
 			}
+			if Now()-asked > Micros(g.bounds.HeldUp.Microseconds()) {
+				continue // the process was held up meanwhile, and this is from before
+			}
 			if newer != nil {
 				gauges = newer
 			}
+			break
 		}
 		next = g.Tick(gauges)
 	}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -95,6 +95,8 @@
 	drained bool   // the notice has come
 	gauges  []float64
 	asOf    Micros
+	ticked  Micros        // the last tick, or the opening
+	tick    chan struct{} // closed at the next tick; nil while nobody waits for it
 	counts  Counts
 }
 
@@ -131,6 +133,7 @@
 	t.JustStarted = cold
 	t.DrainGrace = max(0, t.DrainGrace-Micros(g.bounds.NoticeLate.Microseconds()))
 	g.backend = admit.New(t, g.seed)
+	g.ticked = Now()
 	if !cold {
 		ago = 0
 	}
@@ -140,6 +143,7 @@
 // Pick takes an invocation in and blocks until it is to run, or is throttled or errored, or its caller has
 // left. The ticket is nil unless the verdict is Run; then Report must follow once the run has ended.
 func (g *Gate) Pick(inv Invocation) (Word, *Ticket) {
+	g.catchUp()
 	t := g.enter(inv)
 	var word Word
 	select {
@@ -154,6 +158,28 @@
 	return word, t
 }
 
+// catchUp waits a little for the next tick if the last is long past. It guards against what a process finds that
+// was held up: a crowd of arrivals, to be decided by gauges from before, while the ends of runs and the gauges of
+// now stand unread on the link. The next sample follows those ends.
+func (g *Gate) catchUp() {
+	g.mu.Lock()
+	if g.backend == nil || Now()-g.ticked <= Micros(g.bounds.HeldUp.Microseconds()) {
+		g.mu.Unlock()
+		return
+	}
+	if g.tick == nil {
+		g.tick = make(chan struct{})
+	}
+	tick := g.tick
+	g.mu.Unlock()
+	late := time.NewTimer(2 * g.bounds.SampleWait)
+	defer late.Stop()
+	select {
+	case <-tick:
+	case <-late.C:
+	}
+}
+
 func (g *Gate) enter(inv Invocation) *Ticket {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -211,6 +237,11 @@
 	if g.backend == nil {
 		return now + g.sheet.Terms.AnswerSlack/3
 	}
+	g.ticked = now
+	if g.tick != nil {
+		defer close(g.tick)
+		g.tick = nil
+	}
 	g.counts.Ticks++
 	if gauges == nil {
 		g.counts.Unsampled++
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -146,3 +146,28 @@
 	standin.Take(t, "the end of the beat", over)
 	tr.Say("asked %t", asked > 0)
 }
+
+// TestCatchUp: after a hold-up, arrivals are decided by the gauges of the next tick, or without if none comes.
+func TestCatchUp(t *testing.T) {
+	tr := standin.NewTrace(t)
+	g := open(t)
+	waits := func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.tick != nil
+	}
+	heldUp := func(id string) chan Word {
+		g.mu.Lock()
+		g.ticked -= 1_000_000
+		g.mu.Unlock()
+		words := make(chan Word, 1)
+		go func() { w, _ := g.Pick(usual(id)); words <- w }()
+		standin.Until(t, "the arrival waits", waits)
+		return words
+	}
+	words := heldUp("a")
+	tr.Say("in hand before the tick %d", inHand(g))
+	g.Tick([]float64{0.1, 0, 0, 0})
+	tr.Say("after it: verdict %d, in hand %d", standin.Take(t, "a word", words).Verdict, inHand(g))
+	tr.Say("no tick comes: verdict %d", standin.Take(t, "a word", heldUp("b")).Verdict)
+}
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -30,6 +30,7 @@
 	// The farm.
 	SampleWait  time.Duration // a tick waits so long for its sample
 	SampleOld   time.Duration // gauges older than this are not told
+	HeldUp      time.Duration // without a tick for so long, the process was held up and its gauges are of before
 	Dial        time.Duration // one try to reach it
 	RedialLeast time.Duration // between the first two tries; it doubles
 	RedialMost  time.Duration // up to this
@@ -74,6 +75,7 @@
 
 		SampleWait:  20 * time.Millisecond,
 		SampleOld:   300 * time.Millisecond,
+		HeldUp:      60 * time.Millisecond,
 		RedialLeast: 20 * time.Millisecond,
 		RedialMost:  100 * time.Millisecond,
 		Dial:        time.Second,
