Count the farm's oddities too, and ask again for a sample that does not come

Read in the code: a sample that was never answered, or refused, would have been waited for as long as its link lasted; and a line was logged for each refused run.

--- a/cmd/milletbarrow/main.go
+++ b/cmd/milletbarrow/main.go
@@ -19,6 +19,7 @@
 	"milletbarrow/farm"
 	"milletbarrow/gate"
 	"milletbarrow/limit"
+	"milletbarrow/odd"
 	"milletbarrow/roster"
 	"milletbarrow/terms"
 )
@@ -116,8 +117,9 @@
 	debug.SetGCPercent(lim.HeapGrowth)
 
 	g := gate.New(b.Sheet, uint64(b.Seed), lim)
-	link := farm.New(b.Agent, lim, g.Open)
-	server := edge.New(b.Sheet, lim, g, link)
+	tally := odd.New(lim.Quiet)
+	link := farm.New(b.Agent, lim, tally, g.Open)
+	server := edge.New(b.Sheet, lim, tally, g, link)
 	reports := roster.New(b.Roster, b.Name, lim)
 	for tried, late := false, time.Now().Add(lim.Bind); ; time.Sleep(lim.Rebind) {
 		_, err := server.Listen(b.Listen)
--- a/edge/conn.go
+++ b/edge/conn.go
@@ -64,7 +64,7 @@
 		}
 		size, err := frame.Length(border, c.server.bounds.Frame)
 		if err != nil {
-			c.server.oddity("borders", err)
+			c.server.odd.Note("borders", err)
 			c.deaf = true
 			c.put(func(to []byte) []byte { return frame.AppendError(to, err.Error()) })
 			c.end()
@@ -104,12 +104,12 @@
 	case frame.KindCheck:
 		good := c.server.good()
 		if err := frame.ReadFields(payload); err != nil || h.Payload > len(payload) {
-			c.server.oddity("check", err)
+			c.server.odd.Note("check", err)
 			good = false
 		}
 		c.put(func(to []byte) []byte { return frame.AppendCheckAnswer(to, h.Stream, good) })
 	default: // what is meant by its stream is unknown, so none is touched
-		c.server.oddity("kind", nil)
+		c.server.odd.Note("kind", nil)
 		c.put(func(to []byte) []byte { return frame.AppendError(to, "unknown type") })
 	}
 }
@@ -117,7 +117,7 @@
 func (c *conn) invocation(h frame.Head, payload []byte) {
 	s := c.server
 	if h.Stream == 0 {
-		s.oddity("stream_0", nil)
+		s.odd.Note("stream_0", nil)
 		c.put(func(to []byte) []byte { return frame.AppendError(to, "an invocation on stream 0") })
 		return
 	}
@@ -133,7 +133,7 @@
 		err = errTenant
 	}
 	if err != nil {
-		s.oddity("invocation", err)
+		s.odd.Note("invocation", err)
 		c.fail(h.Stream)
 		return
 	}
@@ -155,7 +155,7 @@
 	switch {
 	case closed:
 	case again:
-		s.oddity("stream_again", nil)
+		s.odd.Note("stream_again", nil)
 		c.fail(h.Stream)
 	case !room || !s.enter():
 		// More than may be open here, or than this process can hold: it never ran, another may have room.
@@ -242,7 +242,7 @@
 func (c *conn) tooMuch() {
 	b := &c.server.bounds
 	if !c.closed && (len(c.out) > b.Unsent || len(c.out) > 0 && c.server.unsent.Load() > b.UnsentAll) {
-		c.server.oddity("unread", nil)
+		c.server.odd.Note("unread", nil)
 		c.shut()
 	}
 }
--- a/edge/server.go
+++ b/edge/server.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"log"
 	"net"
 	"runtime/debug"
@@ -19,6 +18,7 @@
 	"milletbarrow/frame"
 	"milletbarrow/gate"
 	"milletbarrow/limit"
+	"milletbarrow/odd"
 	"milletbarrow/terms"
 )
 
@@ -32,6 +32,7 @@
 type Server struct {
 	sheet      *terms.Sheet
 	bounds     limit.Bounds
+	odd        *odd.Tally
 	gate       *gate.Gate
 	farm       *farm.Link
 	operations map[string]int // number of each name, from 1
@@ -44,22 +45,15 @@
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
 	draining bool
-	odd      map[string]*oddness
-}
-
-// oddness is what is logged of one kind of odd input: its first few, then a count now and then.
-type oddness struct {
-	count  int
-	logged time.Time
 }
 
 type connKey struct{}
 
 // New makes a server for the terms of the sheet.
-func New(sheet *terms.Sheet, bounds limit.Bounds, g *gate.Gate, f *farm.Link) *Server {
+func New(sheet *terms.Sheet, bounds limit.Bounds, tally *odd.Tally, g *gate.Gate, f *farm.Link) *Server {
 	s := &Server{
 		sheet: sheet, bounds: bounds, gate: g, farm: f, operations: map[string]int{}, tenants: map[string]int{},
-		conns: map[*conn]struct{}{}, odd: map[string]*oddness{},
+		conns: map[*conn]struct{}{}, odd: tally,
 	}
 	for n, name := range sheet.Operations {
 		s.operations[name] = n + 1
@@ -105,7 +99,7 @@
 	s.mu.Unlock()
 	ctx := context.WithValue(context.Background(), connKey{}, c)
 	if full {
-		s.oddity("connections", nil)
+		s.odd.Note("connections", nil)
 		np.Close()
 		return ctx
 	}
@@ -126,7 +120,7 @@
 func (s *Server) enter() bool {
 	if s.inHand.Add(1) > int64(s.bounds.Invocations) {
 		s.inHand.Add(-1)
-		s.oddity("invocations", nil)
+		s.odd.Note("invocations", nil)
 		return false
 	}
 	return true
@@ -191,27 +185,11 @@
 
 func (s *Server) good() bool { return s.gate.Good() && s.farm.Up() }
 
-// oddity logs odd input without letting a peer fill the log.
-func (s *Server) oddity(kind string, err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	o := s.odd[kind]
-	if o == nil {
-		o = &oddness{}
-		s.odd[kind] = o
-	}
-	o.count++
-	if now := time.Now(); now.Sub(o.logged) >= s.bounds.Quiet {
-		log.Printf("event=odd kind=%s count=%d error=%q", kind, o.count, fmt.Sprint(err))
-		o.count, o.logged = 0, now
-	}
-}
-
 // remarks takes netpoll's own log in: it writes a line for each connection that is reset.
 type remarks struct{ server *Server }
 
 func (r remarks) Write(line []byte) (int, error) {
-	r.server.oddity("netpoll", errors.New(string(bytes.TrimSpace(line))))
+	r.server.odd.Note("netpoll", errors.New(string(bytes.TrimSpace(line))))
 	return len(line), nil
 }
 
--- a/farm/lines.go
+++ b/farm/lines.go
@@ -135,9 +135,11 @@
 }
 
 func appendSample(to []byte, tag uint64) []byte {
-	return append(strconv.AppendUint(append(to, "sample t"...), tag, 10), "\r\n"...)
+	return append(append(append(to, "sample "...), sampleTag(tag)...), "\r\n"...)
 }
 
+func sampleTag(tag uint64) string { return "t" + strconv.FormatUint(tag, 10) }
+
 func appendLaunch(to []byte, id, operation string, body []byte) []byte {
 	to = append(append(append(to, "launch "...), id...), ' ')
 	to = append(append(to, operation...), ' ')
--- a/farm/link.go
+++ b/farm/link.go
@@ -14,6 +14,7 @@
 
 	"milletbarrow/gate"
 	"milletbarrow/limit"
+	"milletbarrow/odd"
 )
 
 // Run is one run on the farm.
@@ -36,6 +37,7 @@
 type Link struct {
 	address string
 	bounds  limit.Bounds
+	odd     *odd.Tally
 	greeted func(cold bool, ago gate.Micros)
 	sampled chan []float64
 
@@ -48,12 +50,13 @@
 	synced bool   // all notices from before this link have been read
 	tag    uint64 // of the last sample asked for
 	asked  bool   // and it has not come
+	since  time.Time
 }
 
 // New makes a link; greeted is called at each greeting.
-func New(address string, bounds limit.Bounds, greeted func(cold bool, ago gate.Micros)) *Link {
+func New(address string, bounds limit.Bounds, tally *odd.Tally, greeted func(cold bool, ago gate.Micros)) *Link {
 	l := &Link{
-		address: address, bounds: bounds, greeted: greeted, runs: map[string]*Run{}, sampled: make(chan []float64, 1),
+		address: address, bounds: bounds, odd: tally, greeted: greeted, runs: map[string]*Run{}, sampled: make(chan []float64, 1),
 	}
 	l.wake = sync.NewCond(&l.mu)
 	return l
@@ -76,11 +79,12 @@
 	l.wake.Signal()
 }
 
-// Sample asks for the gauges and tells whether it did: not without a link, nor while an answer is to come.
+// Sample asks for the gauges and tells whether it did: not without a link, nor while an answer is to come, unless
+// that is so late that it may never come.
 func (l *Link) Sample() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.synced || l.asked {
+	if !l.synced || l.asked && time.Since(l.since) < l.bounds.SampleOld {
 		return false
 	}
 	l.ask()
@@ -89,7 +93,7 @@
 
 func (l *Link) ask() {
 	l.tag++
-	l.asked = true
+	l.asked, l.since = true, time.Now()
 	l.out = appendSample(l.out, l.tag)
 	l.wake.Signal()
 }
@@ -243,7 +247,7 @@
 			gauges = n.gauges
 			l.gauge(n)
 		case refusal:
-			log.Printf("event=farm_refusal command=%.20q id=%.20q", n.command, id)
+			l.odd.Note("farm_refusal", fmt.Errorf("%.20q %.20q", n.command, id))
 			if string(n.command) == "launch" {
 				l.over(id, Outcome{End: gate.RunErrored})
 			}
@@ -262,7 +266,7 @@
 				end.Result = buf[from : from+n.length]
 				from += n.length
 			} else { // more than an answer may hold: it cannot be passed on unchanged
-				log.Printf("event=farm_result_too_long id=%.20q bytes=%d", id, n.length)
+				l.odd.Note("farm_result", fmt.Errorf("%.20q: %d bytes", id, n.length))
 				end.End = gate.RunErrored
 				rest := n.length - (to - from)
 				if from = min(from+n.length, to); rest > 0 {
@@ -291,10 +295,14 @@
 	}
 }
 
-// gauge takes a sample; the first of a link tells that what came before it has been read.
+// gauge takes the sample last asked for; the first of a link tells that what came before it has been read. One
+// from before, which came after another was asked for, is passed over.
 func (l *Link) gauge(n notice) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if string(n.tag) != sampleTag(l.tag) {
+		return
+	}
 	l.asked = false
 	if !l.synced {
 		l.synced = true
--- /dev/null
+++ b/odd/odd.go
@@ -0,0 +1,43 @@
+// Package odd logs what peers should not have sent, without letting them fill the log.
+package odd
+
+import (
+	"fmt"
+	"log"
+	"sync"
+	"time"
+)
+
+// Tally counts odd input by kind and logs one line of a kind in a while, with how many there were since.
+type Tally struct {
+	quiet time.Duration
+	mu    sync.Mutex
+	kinds map[string]*entry
+}
+
+type entry struct {
+	count  int
+	logged time.Time
+}
+
+// New makes a tally that is quiet for so long between two lines of a kind.
+func New(quiet time.Duration) *Tally {
+	return &Tally{quiet: quiet, kinds: map[string]*entry{}}
+}
+
+// Note counts one; the error, which may be nil, is logged with the line if there is one. Kinds are few and of
+// this program's choice: they are kept for ever.
+func (t *Tally) Note(kind string, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.kinds[kind]
+	if e == nil {
+		e = &entry{}
+		t.kinds[kind] = e
+	}
+	e.count++
+	if now := time.Now(); now.Sub(e.logged) >= t.quiet {
+		log.Printf("event=odd kind=%s count=%d error=%q", kind, e.count, fmt.Sprint(err))
+		e.count, e.logged = 0, now
+	}
+}
