--- a/admit/admit.go
+++ b/admit/admit.go
@@ -288,7 +288,8 @@
 	if b.hopeless(now, inv) {
 		return b.throttle(now, inv, out, b.whose(now, inv))
 	}
-	if b.busy() && !(b.deaf(now) && (len(b.tenants) == 0 || inv.rank >= shareRank)) && b.pressure() > b.threshold(now, inv.rank) {
+	if b.busy() && !(b.deaf(now) && (len(b.tenants) == 0 || inv.rank >= shareRank)) &&
+		b.pressure() > b.threshold(now, inv.rank) {
 		return b.throttle(now, inv, out, anyones)
 	}
 
--- a/farm/lines.go
+++ b/farm/lines.go
@@ -36,7 +36,8 @@
 }
 
 var ends = map[string]gate.End{
-	"complete": gate.RunSucceeded, "error": gate.RunErrored, "cancelled": gate.RunCancelled, "unknown": gate.NeverRan,
+	"complete": gate.RunSucceeded, "error": gate.RunErrored,
+	"cancelled": gate.RunCancelled, "unknown": gate.NeverRan,
 }
 
 var errWords = errors.New("too few words, or too many")
--- a/farm/link.go
+++ b/farm/link.go
@@ -54,9 +54,12 @@
 }
 
 // New makes a link; greeted is called at each greeting.
-func New(address string, bounds limit.Bounds, tally *odd.Tally, greeted func(cold bool, ago gate.Micros)) *Link {
+func New(
+	address string, bounds limit.Bounds, tally *odd.Tally, greeted func(cold bool, ago gate.Micros),
+) *Link {
 	l := &Link{
-		address: address, bounds: bounds, odd: tally, greeted: greeted, runs: map[string]*Run{}, sampled: make(chan []float64, 1),
+		address: address, bounds: bounds, odd: tally, greeted: greeted,
+		runs: map[string]*Run{}, sampled: make(chan []float64, 1),
 	}
 	l.wake = sync.NewCond(&l.mu)
 	return l
@@ -79,8 +82,8 @@
 	l.wake.Signal()
 }
 
-// Sample asks for the gauges and tells whether it did: not without a link, nor while an answer is to come, unless
-// that is so late that it may never come.
+// Sample asks for the gauges and tells whether it did: not without a link, nor while an answer is to come,
+// unless that is so late that it may never come.
 func (l *Link) Sample() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -295,8 +298,8 @@
 	}
 }
 
-// gauge takes the sample last asked for; the first of a link tells that what came before it has been read. One
-// from before, which came after another was asked for, is passed over.
+// gauge takes the sample last asked for; the first of a link tells that what came before it has been read.
+// One from before, which came after another was asked for, is passed over.
 func (l *Link) gauge(n notice) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -121,8 +121,8 @@
 }
 
 // Open starts deciding: the farm is there and came up so long ago, cold or warm. Later calls change nothing.
-// Only a cold farm's past matters: its warming has gone on for so long. One that has been warm for an hour must
-// not make the module believe that it has seen no caller for an hour.
+// Only a cold farm's past matters: its warming has gone on for so long. One that has been warm for an hour
+// must not make the module believe that it has seen no caller for an hour.
 func (g *Gate) Open(cold bool, ago Micros) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -158,9 +158,9 @@
 	return word, t
 }
 
-// catchUp waits a little for the next tick if the last is long past. It guards against what a process finds that
-// was held up: a crowd of arrivals, to be decided by gauges from before, while the ends of runs and the gauges of
-// now stand unread on the link. The next sample follows those ends.
+// catchUp waits a little for the next tick if the last is long past. It guards against what a process finds
+// that was held up: a crowd of arrivals, to be decided by gauges from before, while the ends of runs and the
+// gauges of now stand unread on the link. The next sample follows those ends.
 func (g *Gate) catchUp() {
 	g.mu.Lock()
 	if g.backend == nil || Now()-g.ticked <= Micros(g.bounds.HeldUp.Microseconds()) {
@@ -199,8 +199,8 @@
 		g.counts.UsedUp++
 	}
 	fault := g.decide(now, admit.Arrived{
-		ID: inv.ID, Operation: inv.Operation, Tenant: inv.Tenant, Rank: inv.Rank, Retry: inv.Retry, Keyed: inv.Keyed,
-		Hint: inv.Work, Waited: max(0, now-inv.At),
+		ID: inv.ID, Operation: inv.Operation, Tenant: inv.Tenant, Rank: inv.Rank, Retry: inv.Retry,
+		Keyed: inv.Keyed, Hint: inv.Work, Waited: max(0, now-inv.At),
 		Budget: max(1, t.due-now), // a wait that is used up is due at once; 0 would mean that none was told
 		KB:     inv.KB,
 	})
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -94,7 +94,7 @@
 	b.Unsent = 2 * b.Streams * (b.Result + 256)
 	b.UnsentAll = int64(memoryMB * mb / 8)
 	b.Spare = 16 << 10
-	room := memoryMB * mb / 4 // for connections, and as much for invocations; the rest is headroom for collections
+	room := memoryMB * mb / 4 // for connections, and as much for invocations; the rest is for collections
 	b.Connections = max(1, min(sockets-spare, int(room/perConn)))
 	b.Invocations = max(1, min(b.Connections*b.Streams, int(room/perInv)))
 	return b
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -15,8 +15,8 @@
 	"milletbarrow/limit"
 )
 
-// Reporter reports at intervals; nothing waits for it. A report does not wait for the one before: a roster that
-// takes longer than the interval to answer must not cost the entry.
+// Reporter reports at intervals; nothing waits for it. A report does not wait for the one before: a roster
+// that takes longer than the interval to answer must not cost the entry.
 type Reporter struct {
 	url    string
 	bounds limit.Bounds
@@ -37,8 +37,8 @@
 			Timeout:       bounds.Call,
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 			Transport: &http.Transport{
-				MaxConnsPerHost: bounds.Reports, MaxIdleConnsPerHost: 1, DisableCompression: true, IdleConnTimeout: 4 * bounds.Report,
-				MaxResponseHeaderBytes: int64(bounds.Line),
+				MaxConnsPerHost: bounds.Reports, MaxIdleConnsPerHost: 1, DisableCompression: true,
+				IdleConnTimeout: 4 * bounds.Report, MaxResponseHeaderBytes: int64(bounds.Line),
 			},
 		},
 	}
--- a/terms/backend.go
+++ b/terms/backend.go
@@ -120,7 +120,8 @@
 	case t.FreeValue != admit.NoValue:
 		return fmt.Errorf("settings.family_info.say: %q, and answers have no field for it", s.words.say)
 	case t.Preemption != admit.CannotStop:
-		return fmt.Errorf("settings.family_info.preemption: %q, and the farm has no line for it", s.words.preemption)
+		return fmt.Errorf("settings.family_info.preemption: %q, and the farm has no line for it",
+			s.words.preemption)
 	}
 	for n, op := range t.Operations {
 		switch field := fmt.Sprintf("settings.classes[%d]", n); {
