Leave 30 ms before the stop, later only with answers to write; tests that hold on a busy machine

Seen: with four busy loops on two cores the exit came up to some ms after the stop (it was planned 10 ms before it), and a test took a connection that was closed for want of descriptors for a failure.

--- a/cmd/milletbarrow/main.go
+++ b/cmd/milletbarrow/main.go
@@ -157,20 +157,22 @@
 	log.Printf("event=drain stop_ms=%g", b.StopMs)
 	g.Drain(terms.Micros(b.StopMs))
 	reports.Off()
-	leave(server, g, grace, stop.Add(-lim.LastWords))
+	leave(server, grace, stop, lim)
+	state("stop", server, g)
 	return nil
 }
 
 // leave goes on until the grace is over, then takes nothing more, and returns once all is answered and the
-// callers have gone, or at the latest shortly before the stop.
-func leave(server *edge.Server, g *gate.Gate, grace, latest time.Time) {
+// callers have gone, or shortly before the stop.
+func leave(server *edge.Server, grace, stop time.Time, lim limit.Bounds) {
+	latest, last := stop.Add(-lim.LastWords), stop.Add(-lim.LastChance)
 	if latest.Before(grace) {
 		grace = latest
 	}
 	time.Sleep(time.Until(grace))
 	server.TurnAway()
 	quiet := 0
-	for time.Now().Before(latest) {
+	for now := time.Now(); now.Before(latest) || now.Before(last) && !server.Answered(); now = time.Now() {
 		conns, _ := server.Counts()
 		if conns == 0 && server.Quiet() {
 			quiet++
@@ -180,9 +182,8 @@
 		if quiet > 3 {
 			break
 		}
-		time.Sleep(5 * time.Millisecond)
+		time.Sleep(lim.LastChance)
 	}
-	state("stop", server, g)
 }
 
 // tell logs the state now and then.
--- a/edge/server.go
+++ b/edge/server.go
@@ -245,13 +245,15 @@
 	}
 }
 
-// Quiet tells whether nothing is carried and no answer is still to be written.
-func (s *Server) Quiet() bool {
-	conns := s.all()
-	for _, c := range conns {
+// Answered tells whether all that was read has been answered, and the answers written.
+func (s *Server) Answered() bool {
+	for _, c := range s.all() {
 		if _, rests := c.restsSince(); !rests {
 			return false
 		}
 	}
-	return s.inHand.Load() == 0
+	return true
 }
+
+// Quiet tells whether besides nothing is carried any more.
+func (s *Server) Quiet() bool { return s.Answered() && s.inHand.Load() == 0 }
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -49,7 +49,8 @@
 	// The life of the process.
 	Quiet      time.Duration // between two log lines on the state, or on odd input of one kind
 	NoticeLate time.Duration // a notice may be heard so late; that much of the grace is not used
-	LastWords  time.Duration // before the stop, all is flushed and closed
+	LastWords  time.Duration // the process ends so long before the stop, if all is answered
+	LastChance time.Duration // or, with answers still to be written, so long before it
 }
 
 // For works the bounds out from a process's share of cores, its memory in MB and its descriptors.
@@ -88,7 +89,8 @@
 		Sweep:       500 * time.Millisecond,
 		Quiet:       10 * time.Second,
 		NoticeLate:  100 * time.Millisecond,
-		LastWords:   10 * time.Millisecond,
+		LastWords:   30 * time.Millisecond,
+		LastChance:  5 * time.Millisecond,
 	}
 	b.Content = b.Body + 8<<10
 	b.Unsent = 2 * b.Streams * (b.Result + 256)
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -163,7 +163,18 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.Close() })
-	return &Node{t: t, Conn: c, in: bufio.NewReader(c)}
+	return NewNode(t, c)
+}
+
+// NewNode makes an edge node of a connection.
+func NewNode(t testing.TB, c net.Conn) *Node { return &Node{t: t, Conn: c, in: bufio.NewReader(c)} }
+
+// Ask sends bytes and reads the next frame; either may fail.
+func (n *Node) Ask(text string) (Frame, error) {
+	if _, err := io.WriteString(n.Conn, text); err != nil {
+		return Frame{}, err
+	}
+	return n.Next()
 }
 
 // Send writes bytes as they are.
