Reload on SIGHUP: a new link and reports at the new addresses, runs go on

Nothing in cmd/milletbarrow caught SIGHUP.

farm.Link.Move dials the new address while the old link goes on; the new link takes over (subscribed from the last notice read), the old one is read until the new one is greeted, and notices count by number whichever link brings them. Lines of the old link can neither make the new one level nor ask for samples on it. Other changed fields are named and left.

Beside it: a link cut for under a second no longer turns health checks bad (Link.Up), as callers act on that for seconds.

--- a/cmd/milletbarrow/main.go
+++ b/cmd/milletbarrow/main.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"syscall"
 	"time"
 
@@ -40,9 +41,12 @@
 					if c.Args().Present() { // what is no command comes here too
 						return fmt.Errorf("%q is no command; help lists them", c.Args().First())
 					}
+					// From here on, so that a reload asked for at any time does not end the process.
+					hangup := make(chan os.Signal, 1)
+					signal.Notify(hangup, syscall.SIGHUP)
 					b, err := configuration(c)
 					if err == nil {
-						err = serve(b)
+						err = serve(b, c.String("config"), hangup)
 					}
 					return err
 				},
@@ -108,7 +112,7 @@
 }
 
 // serve wires the parts together and waits for the notice to leave.
-func serve(b *terms.Backend) error {
+func serve(b *terms.Backend, file string, hangup <-chan os.Signal) error {
 	notice := make(chan os.Signal, 1)
 	signal.Notify(notice, syscall.SIGTERM, os.Interrupt)
 	lim := bounds(b)
@@ -144,6 +148,7 @@
 	go g.Beat(ctx.Done(), link.Sample, link.Sampled())
 	go server.Sweep(ctx.Done())
 	go tell(ctx, server, g, lim)
+	go reload(ctx, b, file, hangup, link, reports)
 	broken := make(chan error, 1)
 	go func() { broken <- server.Serve() }()
 
@@ -162,6 +167,30 @@
 	return nil
 }
 
+// reload reads the file anew whenever it is asked to, and hands the addresses in it down. What cannot be used
+// changes nothing.
+func reload(
+	ctx context.Context, b *terms.Backend, file string, hangup <-chan os.Signal, link *farm.Link,
+	reports *roster.Reporter,
+) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+		}
+		later, err := terms.Read(file)
+		if err != nil {
+			log.Printf("event=reload used=false error=%q", err)
+			continue
+		}
+		log.Printf("event=reload used=true agent=%s roster=%s left_as_they_are=%q",
+			later.Agent, later.Roster, strings.Join(b.Fixed(later), " "))
+		link.Move(later.Agent)
+		reports.Move(later.Roster)
+	}
+}
+
 // leave goes on until the grace is over, then takes nothing more, and returns once all is answered and the
 // callers have gone, or shortly before the stop.
 func leave(server *edge.Server, grace, stop time.Time, lim limit.Bounds) {
--- a/cmd/milletbarrow/main_test.go
+++ b/cmd/milletbarrow/main_test.go
@@ -212,6 +212,94 @@
 	b.exit(tr, b.term())
 }
 
+// configure writes the file anew and asks the program to read it.
+func (b *backend) configure(text string) {
+	if err := os.WriteFile(b.config, []byte(text), 0o600); err != nil {
+		b.t.Fatal(err)
+	}
+	b.cmd.Process.Signal(syscall.SIGHUP)
+}
+
+// TestReload: the new file's addresses are used from the notice on; runs, notice numbers and connections go on,
+// also in quick succession, while the link is broken, while draining, and with an agent that is not there yet.
+func TestReload(t *testing.T) {
+	tr := standin.NewTrace(t)
+	b := prepare(t)
+	b.agent.With(func(state, _ *string) { *state = "" })
+	b.start()
+	tr.Say("subscribe %d", standin.Take(t, "a link", b.agent.Subscribes))
+	raw, err := os.ReadFile(b.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := string(raw)
+	move := func(what string, meanwhile func()) (cut func()) {
+		before, reports := b.agent.Address, b.reports
+		cut = b.agent.Move()
+		meanwhile()
+		var roster string
+		roster, b.reports = standin.NewRoster(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+		now = regexp.MustCompile(`"roster":"[^"]*"`).ReplaceAllString(strings.Replace(now, before, b.agent.Address, 1), `"roster":"`+roster+`"`)
+		b.configure(now)
+		tr.Say("%s: subscribe %d", what, standin.Take(t, "a new link", b.agent.Subscribes))
+		if !b.said("event=drain")() {
+			tr.Say("  %s", standin.Take(t, "a report to the new roster", b.reports))
+		}
+		for len(reports) > 0 {
+			<-reports
+		}
+		return cut
+	}
+	move("before the first greeting", func() {})
+	b.agent.With(func(state, _ *string) { *state = "hot 1" })
+	b.ready()
+	n := standin.Dial(t, b.address)
+	n.Send(standin.Invocation(1, 1))
+	one := standin.Take(t, "a launch", b.agent.Launches)
+	n.Send(standin.Invocation(2, 2))
+	two := standin.Take(t, "a launch", b.agent.Launches)
+	b.agent.End(one.ID, "complete", "before")
+	tr.Say("%v", n.Expect())
+	cut := move("with a run in hand", func() {})
+	b.agent.End(two.ID, "complete", "after")
+	tr.Say("%v", n.Expect())
+	cut()
+	n.Send(standin.Invocation(3, 3))
+	three := standin.Take(t, "a launch", b.agent.Launches)
+	tr.Say("good all along: %t", !b.said("event=farm_lost")())
+
+	b.configure(now + "}")
+	standin.Until(t, "the bad file is told of", b.said("event=reload used=false"))
+	b.configure(strings.Replace(now, `"stop_ms":1500`, `"stop_ms":900`, 1))
+	standin.Until(t, "the field is named", b.said(`left_as_they_are="stop_ms"`))
+	for range 5 {
+		b.cmd.Process.Signal(syscall.SIGHUP)
+	}
+	move("the link is broken", func() {
+		b.agent.Cut()
+		b.agent.End(three.ID, "complete", "while the link was broken")
+	})
+	tr.Say("%v", n.Expect())
+
+	b.agent.With(func(state, _ *string) { *state = "" })
+	n.Send(standin.Invocation(4, 4))
+	four := standin.Take(t, "a launch", b.agent.Launches)
+	move("to an agent that is not there yet", func() {})
+	n.Send(standin.Invocation(5, 5))
+	b.agent.With(func(state, _ *string) { *state = "hot 1" })
+	five := standin.Take(t, "the launch that waited for the link", b.agent.Launches)
+	since := b.term()
+	standin.Until(t, "the notice is heard", b.said("event=drain"))
+	move("while draining", func() {})
+	for _, l := range []standin.Launch{four, five} {
+		b.agent.End(l.ID, "complete", "moved")
+		tr.Say("%v", n.Expect())
+	}
+	n.Close()
+	b.exit(tr, since)
+	tr.Say("launches left %d", len(b.agent.Launches))
+}
+
 // TestStartAgain: killed outright, it comes up at once under its name and address.
 func TestStartAgain(t *testing.T) {
 	tr := standin.NewTrace(t)
--- a/farm/link.go
+++ b/farm/link.go
@@ -35,22 +35,25 @@
 
 // Link is the one link to the agent. Its methods never block.
 type Link struct {
-	address string
 	bounds  limit.Bounds
 	odd     *odd.Tally
 	greeted func(cold bool, ago gate.Micros)
 	sampled chan []float64
+	moved   chan struct{} // the address is another one
 
-	mu     sync.Mutex
-	wake   *sync.Cond // there is something to write, or the link is over
-	conn   net.Conn
-	out    []byte // to be written
-	runs   map[string]*Run
-	last   uint64 // number of the last notice read
-	synced bool   // all notices from before this link have been read
-	tag    uint64 // of the last sample asked for
-	asked  bool   // and it has not come
-	since  time.Time
+	mu      sync.Mutex
+	address string
+	wake    *sync.Cond // there is something to write, or the link is over
+	conn    net.Conn   // the newest; all that is written goes to it
+	before  net.Conn   // the one it took over from, read until the newest is greeted
+	out     []byte     // to be written
+	runs    map[string]*Run
+	last    uint64    // number of the last notice read
+	synced  bool      // all notices from before this link have been read
+	heard   time.Time // when it was last so
+	tag     uint64    // of the last sample asked for
+	asked   bool      // and it has not come
+	since   time.Time
 }
 
 // New makes a link; greeted is called at each greeting.
@@ -59,7 +62,7 @@
 ) *Link {
 	l := &Link{
 		address: address, bounds: bounds, odd: tally, greeted: greeted,
-		runs: map[string]*Run{}, sampled: make(chan []float64, 1),
+		runs: map[string]*Run{}, sampled: make(chan []float64, 1), moved: make(chan struct{}, 1),
 	}
 	l.wake = sync.NewCond(&l.mu)
 	return l
@@ -104,11 +107,26 @@
 // Sampled brings gauges; only the newest are kept for who comes late.
 func (l *Link) Sampled() <-chan []float64 { return l.sampled }
 
-// Up tells whether runs can be started now.
+// Up tells whether runs can be started now, or will be as soon as a link that was just lost is back: a cut of
+// a moment costs no run, and callers that hear of bad health act on it for seconds.
 func (l *Link) Up() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.synced
+	return l.synced || time.Since(l.heard) < l.bounds.LinkMissed
+}
+
+// Move names another address of the same agent, to which a new link is made while the old one goes on.
+func (l *Link) Move(address string) {
+	l.mu.Lock()
+	same := l.address == address
+	l.address = address
+	l.mu.Unlock()
+	if !same {
+		select {
+		case l.moved <- struct{}{}:
+		default:
+		}
+	}
 }
 
 // Keep holds the link up until the context ends.
@@ -116,11 +134,22 @@
 	dialer := net.Dialer{Timeout: l.bounds.Dial}
 	pause := l.bounds.RedialLeast
 	for down := false; ctx.Err() == nil; {
-		conn, err := dialer.DialContext(ctx, "tcp", l.address)
+		l.mu.Lock()
+		address := l.address
+		l.mu.Unlock()
+		conn, err := dialer.DialContext(ctx, "tcp", address)
 		if err == nil {
-			var greeted bool
-			if greeted, err = l.hold(ctx, conn); greeted {
-				pause, down = l.bounds.RedialLeast, false
+			over := make(chan ending, 1)
+			l.takeOver(conn)
+			go func() { over <- l.hold(ctx, conn) }()
+			select {
+			case end := <-over:
+				if err = end.err; end.greeted {
+					pause, down = l.bounds.RedialLeast, false
+				}
+			case <-l.moved: // this link goes on until the next has taken over, or the agent closes it
+				pause = l.bounds.RedialLeast
+				continue
 			}
 		}
 		if ctx.Err() != nil {
@@ -132,9 +161,11 @@
 		}
 		select {
 		case <-time.After(pause):
+			pause = min(2*pause, l.bounds.RedialMost)
+		case <-l.moved:
+			pause = l.bounds.RedialLeast
 		case <-ctx.Done():
 		}
-		pause = min(2*pause, l.bounds.RedialMost)
 	}
 }
 
@@ -144,24 +175,53 @@
 	return len(l.runs)
 }
 
+// ending is how a link came to its end.
+type ending struct {
+	greeted bool
+	err     error
+}
+
+// takeOver makes conn the newest link, subscribed from the last notice read. The one before is still read:
+// its notices count by their numbers, whichever link brings them first. What was written to it and not read
+// by the agent is sent again once the new link is level.
+func (l *Link) takeOver(conn net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.before != nil {
+		l.before.Close()
+	}
+	l.before = l.conn
+	l.unlink(conn)
+	l.out = appendSubscribe(l.out[:0], l.last)
+}
+
+// unlink lets conn, which may be nil, stand in for a link that is level; l.mu is held.
+func (l *Link) unlink(conn net.Conn) {
+	if l.synced {
+		l.heard = time.Now()
+	}
+	l.conn, l.synced, l.asked = conn, false, false
+	l.wake.Broadcast()
+}
+
 // hold works one connection until it is over.
-func (l *Link) hold(ctx context.Context, conn net.Conn) (greeted bool, err error) {
+func (l *Link) hold(ctx context.Context, conn net.Conn) (end ending) {
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
-	l.mu.Lock()
-	l.conn, l.synced, l.asked = conn, false, false
-	l.out = appendSubscribe(l.out[:0], l.last)
-	l.mu.Unlock()
 	var writer sync.WaitGroup
 	writer.Go(func() { l.write(conn) })
-	greeted, err = l.read(conn)
+	end.greeted, end.err = l.read(conn)
 	l.mu.Lock()
-	l.conn, l.synced, l.asked = nil, false, false
-	l.wake.Signal()
+	if l.conn == conn {
+		l.unlink(nil)
+	}
+	if l.before == conn {
+		l.before = nil
+	}
 	l.mu.Unlock()
 	conn.Close()
 	writer.Wait()
-	return greeted, err
+	return end
 }
 
 // write sends what gathers, until the link is over.
@@ -244,11 +304,16 @@
 			log.Printf("event=farm_up cold=%t ago_us=%d", n.cold, n.micros)
 			l.greeted(n.cold, n.micros)
 			l.mu.Lock()
-			l.ask() // its answer follows the notices that were kept for us
+			if l.conn == conn {
+				if l.before != nil {
+					l.before.Close()
+				}
+				l.ask() // its answer follows the notices that were kept for us
+			}
 			l.mu.Unlock()
 		case sampled:
 			gauges = n.gauges
-			l.gauge(n)
+			l.gauge(conn, n)
 		case refusal:
 			l.odd.Note("farm_refusal", fmt.Errorf("%.20q %.20q", n.command, id))
 			if string(n.command) == "launch" {
@@ -299,11 +364,11 @@
 }
 
 // gauge takes the sample last asked for; the first of a link tells that what came before it has been read.
-// One from before, which came after another was asked for, is passed over.
-func (l *Link) gauge(n notice) {
+// One from before, which came after another was asked for or another link took over, is passed over.
+func (l *Link) gauge(conn net.Conn, n notice) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if string(n.tag) != sampleTag(l.tag) {
+	if l.conn != conn || string(n.tag) != sampleTag(l.tag) {
 		return
 	}
 	l.asked = false
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -34,6 +34,7 @@
 	Dial        time.Duration // one try to reach it
 	RedialLeast time.Duration // between the first two tries; it doubles
 	RedialMost  time.Duration // up to this
+	LinkMissed  time.Duration // without a link for so long, checks are answered with bad
 
 	// The roster.
 	Report  time.Duration // between two reports
@@ -79,6 +80,7 @@
 		HeldUp:      60 * time.Millisecond,
 		RedialLeast: 20 * time.Millisecond,
 		RedialMost:  100 * time.Millisecond,
+		LinkMissed:  time.Second,
 		Dial:        time.Second,
 		Report:      700 * time.Millisecond,
 		Call:        2800 * time.Millisecond,
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -18,21 +18,24 @@
 // Reporter reports at intervals; nothing waits for it. A report does not wait for the one before: a roster
 // that takes longer than the interval to answer must not cost the entry.
 type Reporter struct {
-	url    string
+	path   string
 	bounds limit.Bounds
 	client *http.Client
 	off    chan struct{}
 	once   sync.Once
+	moved  chan struct{} // the roster is at another address
 	room   chan struct{} // holds one for each report on its way
-	mu     sync.Mutex
-	ill    bool // the last report to end did not arrive
+
+	mu      sync.Mutex
+	address string
+	ill     bool // the last report to end did not arrive
 }
 
 // New makes a reporter for the backend of that name.
 func New(address, name string, bounds limit.Bounds) *Reporter {
 	return &Reporter{
-		url: "http://" + address + "/roster/" + url.PathEscape(name), bounds: bounds, off: make(chan struct{}),
-		room: make(chan struct{}, bounds.Reports),
+		path: "/roster/" + url.PathEscape(name), address: address, bounds: bounds, off: make(chan struct{}),
+		room: make(chan struct{}, bounds.Reports), moved: make(chan struct{}, 1),
 		client: &http.Client{
 			Timeout:       bounds.Call,
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -47,6 +50,22 @@
 // Off makes the next report, sent at once, the last: the entry lapses after it.
 func (r *Reporter) Off() { r.once.Do(func() { close(r.off) }) }
 
+// Move names another address of the roster; the next report, sent at once, goes there.
+func (r *Reporter) Move(address string) {
+	r.mu.Lock()
+	same := r.address == address
+	r.address = address
+	r.mu.Unlock()
+	if same {
+		return
+	}
+	r.client.CloseIdleConnections()
+	select {
+	case r.moved <- struct{}{}:
+	default:
+	}
+}
+
 // Keep reports until Off, or until the context ends, and then waits for what is on its way.
 func (r *Reporter) Keep(ctx context.Context) {
 	defer r.client.CloseIdleConnections()
@@ -70,6 +89,8 @@
 		}
 		select {
 		case <-due.C:
+		case <-r.moved:
+			due.Reset(r.bounds.Report)
 		case <-r.off:
 			duty = "off"
 		case <-ctx.Done():
@@ -91,7 +112,10 @@
 
 func (r *Reporter) report(ctx context.Context, duty string) error {
 	body := bytes.NewReader([]byte(`{"duty":"` + duty + `"}`))
-	call, err := http.NewRequestWithContext(ctx, http.MethodPut, r.url, body)
+	r.mu.Lock()
+	to := "http://" + r.address + r.path
+	r.mu.Unlock()
+	call, err := http.NewRequestWithContext(ctx, http.MethodPut, to, body)
 	if err != nil {
 		return err
 	}
--- a/terms/backend.go
+++ b/terms/backend.go
@@ -7,6 +7,7 @@
 	"math"
 	"net/netip"
 	"os"
+	"reflect"
 	"slices"
 	"strconv"
 
@@ -55,6 +56,24 @@
 	return Parse(raw)
 }
 
+// Fixed names the fields that a later configuration gives anew though they cannot change while the program
+// runs; the addresses of agent and roster can.
+func (b *Backend) Fixed(later *Backend) (fields []string) {
+	for _, f := range []struct {
+		name string
+		same bool
+	}{
+		{"name", b.Name == later.Name}, {"listen", b.Listen == later.Listen}, {"seed", b.Seed == later.Seed},
+		{"stop_ms", b.StopMs == later.StopMs}, {"limits", b.Limits == later.Limits},
+		{"settings", reflect.DeepEqual(b.Sheet, later.Sheet)},
+	} {
+		if !f.same {
+			fields = append(fields, f.name)
+		}
+	}
+	return fields
+}
+
 // Parse decodes a configuration.
 func Parse(raw []byte) (*Backend, error) {
 	var b Backend
