Connections have a life, input is handled on the poller, bad callers are bounded

The logs show 256 of 256 connections from the first minute on and some 16 new ones turned away every second (event=odd kind=connections count=160 in 10 s): callers that ask once and stay hold the table, and edge.Server.accept closed the newest. Memory rose to 23 MB, as the collector let the heap grow to five times what lives.

Changed: a connection is ended that says nothing sound for 2 s, does not end a frame for 2 s, or rests 2 s longer than the deployment's callers keep theirs; a full table gives up the silent, then those resting longest, never one with work. Input is taken in on netpoll's poller with a part buffer of our own, so that nothing is read ahead (buffers of up to 8 MB before), each connection has its turn of 4 KB, and no frame costs a goroutine; answers go straight to the socket. 32 frames on one connection that are unfit end it. A run that the farm refuses was nobody's work and is taken out of the module's measures. Collections at twice what lives.

Ruled out: netpoll's Close from its poller waits for that poller, so connections are shut down instead and the poller finds the end.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -86,7 +86,8 @@
 	arrived, wantBy, due Micros
 	unread               Micros // it waited so long to be read
 	phase                phase
-	attempts             int     // calls made
+	retry                bool
+	tenant, attempts     int     // attempts: calls made
 	notUntil             Micros  // the next call
 	began, leftAt        float64 // coreTime at the start of the run, and when it left the cores for a call
 	taken                bool    // past the gate
@@ -152,6 +153,8 @@
 
 func (d *decaying) add(now Micros, x float64) { d.sum = d.read(now) + x }
 
+func (d *decaying) take(now Micros, x float64) { d.sum = max(0, d.read(now)-x) }
+
 // pace learns the core time of an operation for each unit of expected work.
 type pace struct{ spent, units decaying }
 
@@ -237,7 +240,7 @@
 	}
 	inv := &invocation{
 		id: a.ID, op: op, pace: &b.paces[a.Operation], rank: a.Rank, kb: a.KB, unit: 1,
-		unread: a.Waited, arrived: now - a.Waited, due: now + a.Budget,
+		unread: a.Waited, arrived: now - a.Waited, due: now + a.Budget, retry: a.Retry, tenant: a.Tenant,
 	}
 	if a.Budget <= 0 {
 		inv.due = max(now, inv.arrived+op.ClientTimeout)
@@ -561,8 +564,19 @@
 	if inv == nil {
 		return out
 	}
-	if e.Outcome == OK {
+	switch e.Outcome {
+	case OK:
 		b.moved = now
+	case Unrunnable: // as if never read: a flood of what nobody asked for must not pass for load or first tries
+		b.reads.take(now, 1)
+		if inv.retry {
+			b.retries.take(now, 1)
+		}
+		if inv.tenant < len(b.tenants) {
+			b.tenants[inv.tenant].take(now, 1)
+		}
+		b.begun--
+		return b.drop(inv, out)
 	}
 	if inv.phase == calling {
 		b.lingering = append(b.lingering, now+b.t.Linger)
--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -361,6 +361,29 @@
 }
 
 // Nor may callers that come back fill the lines with what a tenant sends beyond its part.
+// TestUnrunnable: what the farm knows nothing of moves no measure, whatever marks it bears.
+func TestUnrunnable(t *testing.T) {
+	tr := newTrace(t, func(t *Terms) { t.QuotaPerSecond = []float64{10, 10} })
+	for k := range 4 {
+		tr.arrive(fmt.Sprint("work", k), 0, 0.5)
+	}
+	tr.pass(20, 0.9, 2)
+	measures := func() string {
+		b := tr.b
+		return fmt.Sprintf("reads %.2f retries %.2f tenant %.2f ended %.2f pressure %.2f drag %.2f", b.reads.read(tr.now),
+			b.retries.read(tr.now), b.tenants[1].read(tr.now), b.ended.read(tr.now), b.pressure(), b.drag(tr.now))
+	}
+	before := measures()
+	for k := range 500 {
+		id := fmt.Sprint("none", k)
+		tr.b.Decide(tr.now, Arrived{ID: id, Rank: 0.9, Retry: k%2 == 0, Tenant: 1, Hint: 1000, Budget: 5_000_000, KB: 1}, nil)
+		tr.b.Decide(tr.now, Finished{ID: id, Outcome: Unrunnable}, nil)
+	}
+	if after := measures(); after != before {
+		t.Errorf("before %s\nafter  %s", before, after)
+	}
+}
+
 func TestDeafCallersDoNotLiftTheGateForExcess(t *testing.T) {
 	tr := newTrace(t, func(t *Terms) { t.QuotaPerSecond, t.OverShareValue = []float64{1, 8}, 0.05 })
 	tr.b.tenants[0].add(tr.now, 5)
--- a/admit/types.go
+++ b/admit/types.go
@@ -39,7 +39,7 @@
 // Outcome is how a run or a call below ended.
 type Outcome int
 
-// Outcomes of runs and calls. Full, Unreachable and Void prove that nothing ran.
+// Outcomes of runs and calls. Full, Unreachable, Void and Unrunnable prove that nothing ran.
 const (
 	OK Outcome = iota
 	Errored
@@ -49,6 +49,7 @@
 	Reset
 	Canceled
 	Void
+	Unrunnable // nobody's work: the invocation was none
 )
 
 // Operation is what the deployment says of one kind of invocation.
--- a/cmd/milletbarrow/main_test.go
+++ b/cmd/milletbarrow/main_test.go
@@ -281,6 +281,8 @@
 	})
 	tr.Say("%v", n.Expect())
 
+	asked := b.agent.Samples() // the second is asked for once the link is level
+	standin.Until(t, "the link is level", func() bool { return b.agent.Samples() >= asked+2 })
 	b.agent.With(func(state, _ *string) { *state = "" })
 	n.Send(standin.Invocation(4, 4))
 	four := standin.Take(t, "a launch", b.agent.Launches)
--- a/edge/conn.go
+++ b/edge/conn.go
@@ -4,6 +4,7 @@
 	"log"
 	"runtime/debug"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -12,23 +13,33 @@
 	"milletbarrow/gate"
 )
 
-// conn is one connection of an edge node. Its reader runs on netpoll's goroutine and never waits for a
-// writer: answers gather in out, and whoever finds nobody writing writes them.
+// conn is one connection of an edge node. What comes on it is taken in on netpoll's poller itself: input is
+// read no faster than it is handled, and each connection has its turn of one small buffer, however much stands
+// before it. So nothing that the poller calls may wait. Answers gather in out and go straight to the socket;
+// only what it does not take at once is left to a goroutine that waits.
 type conn struct {
 	server *Server
 	np     netpoll.Connection
-	skip   int  // bytes of a frame too long to be an invocation, still to be passed over; the reader's
-	deaf   bool // borders are lost: nothing more is read; the reader's
+	fd     int
+	born   time.Time
+
+	// The poller's.
+	part []byte // a frame whose rest has not come
+	skip int    // bytes of a frame too long to be an invocation, still to be passed over
+	deaf bool   // borders are lost, or too much could not be used: nothing more is taken in
 
 	mu      sync.Mutex
 	open    map[uint32]*stream
-	out     []byte // answers not yet handed to netpoll
-	spare   []byte
-	writing bool
-	noMore  bool      // type 30 is out
-	ending  bool      // closes once all is answered and written
-	closed  bool      // and has been
-	used    time.Time // when it last carried something
+	out     []byte // answers not yet written
+	writing bool   // a goroutine waits for the socket to take some
+	noMore  bool   // type 30 is out
+	ending  bool   // closes once all is answered and written
+	closed  bool   // and has been
+	freed   bool   // netpoll has let go of it; its descriptor may be another's
+	sound   bool   // it has said something that can be used
+	unfit   int    // frames that could not be used, or named work that the farm does not know
+	used    time.Time
+	begun   time.Time // when the frame began of which the rest has not come; zero: there is none
 }
 
 // stream is an invocation that is to be answered.
@@ -37,51 +48,108 @@
 	left   chan struct{} // closed once its caller is known to have gone
 }
 
-// read takes in whole frames until none is left. Netpoll calls it whenever something has come.
+// read takes in all that has come. Netpoll calls it on the poller, and would call again and again for what is
+// left unread.
 func (c *conn) read() {
+	defer func() {
+		if r := recover(); r != nil {
+			log.Printf("event=fault in=read text=%q stack=%q", r, debug.Stack())
+			c.cut()
+		}
+	}()
 	r := c.np.Reader()
-	for r.Len() > 0 {
-		if !c.np.IsActive() { // we have closed it though the peer goes on sending, or the peer is gone
-			c.np.Close()
+	for n := r.Len(); n > 0; n = r.Len() {
+		b, err := r.Next(n)
+		if err == nil {
+			c.feed(b)
+			err = r.Release()
+		}
+		if err != nil {
+			c.cut()
 			return
 		}
-		if c.deaf || c.skip > 0 {
-			n := r.Len()
-			if !c.deaf {
-				n = min(n, c.skip)
-				c.skip -= n
-			}
-			if r.Skip(n) != nil || r.Release() != nil {
-				c.np.Close()
-				return
-			}
+	}
+}
+
+// feed takes in bytes, which are valid until it returns. Of a frame that is not whole it keeps the beginning, as
+// far as it can be an invocation.
+func (c *conn) feed(b []byte) {
+	taken := false
+	for len(b) > 0 && !c.deaf {
+		if c.skip > 0 {
+			n := min(c.skip, len(b))
+			c.skip -= n
+			b = b[n:]
 			continue
 		}
-		border, err := r.Peek(frame.LengthSize)
-		if err != nil { // it ended within a frame; netpoll would call again and again for what is left unread
-			c.np.Close()
-			return
+		whole := frame.LengthSize
+		head := b
+		if len(c.part) > 0 {
+			b = c.gather(b, whole)
+			head = c.part
 		}
-		size, err := frame.Length(border, c.server.bounds.Frame)
-		if err != nil {
-			c.server.odd.Note("borders", err)
-			c.deaf = true
-			c.put(func(to []byte) []byte { return frame.AppendError(to, err.Error()) })
-			c.end()
-			continue
+		if len(head) >= whole {
+			size, err := frame.Length(head, c.server.bounds.Frame)
+			if err != nil {
+				c.lostBorders(err)
+				return
+			}
+			whole = min(frame.LengthSize+size, frame.HeadSize+c.server.bounds.Content)
+			if len(c.part) > 0 {
+				b = c.gather(b, whole)
+				head = c.part
+			}
+			if len(head) >= whole {
+				c.skip = frame.LengthSize + size - whole
+				c.take(head[:whole])
+				taken = true
+				if len(c.part) == 0 {
+					b = b[whole:]
+				} else if c.part = c.part[:0]; cap(c.part) > c.server.bounds.Part {
+					c.part = nil
+				}
+				continue
+			}
 		}
-		whole := min(frame.LengthSize+size, frame.HeadSize+c.server.bounds.Content)
-		b, err := r.Next(whole)
-		if err != nil {
-			c.np.Close()
-			return
+		if len(c.part) == 0 {
+			b = c.gather(b, len(b))
 		}
-		c.skip = frame.LengthSize + size - whole
-		c.take(b)
-		if r.Release() != nil {
-			c.np.Close()
-			return
+	}
+	if within := len(c.part) > 0 || c.skip > 0; within != !c.begun.IsZero() || within && taken {
+		c.mu.Lock()
+		if c.begun = (time.Time{}); within {
+			c.begun = time.Now()
 		}
+		c.mu.Unlock()
+	}
+}
+
+// gather moves bytes to part until it holds so many, and returns the rest.
+func (c *conn) gather(b []byte, whole int) []byte {
+	n := min(max(0, whole-len(c.part)), len(b))
+	c.part = append(c.part, b[:n]...)
+	return b[n:]
+}
+
+// lostBorders: nothing can be read any more; what was read whole is answered, then the connection closes.
+func (c *conn) lostBorders(err error) {
+	c.server.odd.Note("borders", err)
+	c.deaf, c.part = true, nil
+	c.put(func(to []byte) []byte { return frame.AppendError(to, err.Error()) })
+	c.end()
+}
+
+// odd notes a frame that cannot be used, or an invocation of which the farm does not know. It guards against
+// floods of them: a caller that sends nothing else costs a bounded share of our time, then it is left alone.
+func (c *conn) odd(kind string, err error) {
+	c.server.odd.Note(kind, err)
+	c.mu.Lock()
+	c.unfit++
+	over := c.unfit == c.server.bounds.Unfit
+	c.mu.Unlock()
+	if over {
+		c.server.odd.Note("unfit", nil)
+		c.end()
 	}
 }
 
@@ -96,6 +164,10 @@
 		}
 	}()
 	payload := b[frame.HeadSize:]
+	if c.ends() {
+		c.deaf = true
+		return
+	}
 	switch h.Kind {
 	case frame.KindInvocation:
 		c.invocation(h, payload)
@@ -104,12 +176,14 @@
 	case frame.KindCheck:
 		good := c.server.good()
 		if err := frame.ReadFields(payload); err != nil || h.Payload > len(payload) {
-			c.server.odd.Note("check", err)
+			c.odd("check", err)
 			good = false
+		} else {
+			c.use(nil)
 		}
 		c.put(func(to []byte) []byte { return frame.AppendCheckAnswer(to, h.Stream, good) })
 	default: // what is meant by its stream is unknown, so none is touched
-		c.server.odd.Note("kind", nil)
+		c.odd("kind", nil)
 		c.put(func(to []byte) []byte { return frame.AppendError(to, "unknown type") })
 	}
 }
@@ -117,7 +191,7 @@
 func (c *conn) invocation(h frame.Head, payload []byte) {
 	s := c.server
 	if h.Stream == 0 {
-		s.odd.Note("stream_0", nil)
+		c.odd("stream_0", nil)
 		c.put(func(to []byte) []byte { return frame.AppendError(to, "an invocation on stream 0") })
 		return
 	}
@@ -133,7 +207,7 @@
 		err = errTenant
 	}
 	if err != nil {
-		s.odd.Note("invocation", err)
+		c.odd("invocation", err)
 		c.fail(h.Stream)
 		return
 	}
@@ -143,19 +217,10 @@
 	}
 	st := &stream{number: h.Stream, left: make(chan struct{})}
 	inv.Left = st.left
-	c.mu.Lock()
-	again := c.open[h.Stream] != nil
-	room := !again && len(c.open) < s.bounds.Streams
-	if room && !c.closed {
-		c.open[h.Stream] = st
-		c.used = time.Now()
-	}
-	closed := c.closed
-	c.mu.Unlock()
+	again, room := c.use(st)
 	switch {
-	case closed:
 	case again:
-		s.odd.Note("stream_again", nil)
+		c.odd("stream_again", nil)
 		c.fail(h.Stream)
 	case !room || !s.enter():
 		// More than may be open here, or than this process can hold: it never ran, another may have room.
@@ -166,6 +231,22 @@
 	}
 }
 
+// use notes that something sound was said, and opens the stream of an invocation.
+func (c *conn) use(st *stream) (again, room bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sound, c.used = true, time.Now()
+	if st == nil || c.closed {
+		return false, true
+	}
+	again = c.open[st.number] != nil
+	room = !again && len(c.open) < c.server.bounds.Streams
+	if room {
+		c.open[st.number] = st
+	}
+	return again, room
+}
+
 // answer gives a stream its one answer, unless its caller has left or it had one.
 func (c *conn) answer(st *stream, code frame.Code, away gate.Micros, last bool, body []byte) {
 	c.mu.Lock()
@@ -173,6 +254,7 @@
 		c.mu.Unlock()
 		return
 	}
+	defer c.mu.Unlock()
 	delete(c.open, st.number)
 	c.used = time.Now()
 	c.append(func(to []byte) []byte { return frame.AppendAnswer(to, st.number, code, away, last, body) })
@@ -210,22 +292,12 @@
 	}
 }
 
-// put writes a frame without waiting for it.
+// put writes a frame.
 func (c *conn) put(write func(to []byte) []byte) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.append(write)
-	if c.writing || c.closed {
-		c.tooMuch()
-		c.mu.Unlock()
-		return
-	}
-	c.writing = true
-	c.mu.Unlock()
-	go func() {
-		c.mu.Lock()
-		c.writing = false
-		c.flush()
-	}()
+	c.flush()
 }
 
 // append adds a frame to what is to be written; c.mu is held.
@@ -238,50 +310,84 @@
 	c.server.unsent.Add(int64(len(c.out) - before))
 }
 
-// tooMuch cuts off a peer that takes nothing while it sends; c.mu is held.
-func (c *conn) tooMuch() {
+// flush writes what has gathered as far as the socket takes it, and leaves the rest to a goroutine that waits.
+// A peer that takes nothing while it sends is cut off. c.mu is held.
+func (c *conn) flush() {
 	b := &c.server.bounds
-	if !c.closed && (len(c.out) > b.Unsent || len(c.out) > 0 && c.server.unsent.Load() > b.UnsentAll) {
-		c.server.odd.Note("unread", nil)
+	if c.closed || len(c.out) == 0 {
+		return
+	}
+	if c.writing {
+		if len(c.out) > b.Unsent || c.server.unsent.Load() > b.UnsentAll {
+			c.server.odd.Note("unread", nil)
+			c.shut()
+		}
+		return
+	}
+	n, err := syscall.Write(c.fd, c.out)
+	switch n = max(n, 0); {
+	case err != nil && err != syscall.EAGAIN && err != syscall.EINTR:
 		c.shut()
+		return
+	case n < len(c.out):
+		c.server.unsent.Add(-int64(n))
+		c.out = c.out[:copy(c.out, c.out[n:])]
+		c.writing = true
+		go c.wait()
+		return
 	}
+	c.written(c.out)
+	c.finish()
 }
 
-// flush writes what has gathered, unless somebody is at it. It is called with c.mu held and gives it up; it
-// may wait for the peer, so only goroutines that have nothing else to do come here.
-func (c *conn) flush() {
-	defer c.mu.Unlock()
-	if c.writing || c.closed {
-		c.tooMuch()
-		return
+// written keeps a buffer for the next answers; c.mu is held.
+func (c *conn) written(b []byte) {
+	c.server.unsent.Add(-int64(len(b)))
+	if c.out = nil; cap(b) <= c.server.bounds.Spare {
+		c.out = b[:0]
 	}
-	c.writing = true
+}
+
+// wait writes what the socket does not take at once.
+func (c *conn) wait() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for len(c.out) > 0 && !c.closed {
 		b := c.out
-		c.out, c.spare = c.spare[:0], nil
+		c.out = nil
 		c.mu.Unlock()
 		_, err := c.np.Write(b)
 		c.mu.Lock()
 		c.server.unsent.Add(-int64(len(b)))
-		if cap(b) <= c.server.bounds.Spare {
-			c.spare = b
-		}
 		if err != nil {
 			c.shut()
 		}
 	}
 	c.writing = false
-	if c.ending && len(c.open) == 0 {
+	c.finish()
+}
+
+// finish closes a connection that ends once all is answered and written; c.mu is held.
+func (c *conn) finish() {
+	if c.ending && len(c.open) == 0 && len(c.out) == 0 && !c.writing {
 		c.shut()
 	}
 }
 
-// shut closes the connection; c.mu is held. Netpoll then calls lost.
+// shut closes the connection; c.mu is held. The poller then finds its end, and netpoll calls lost. Netpoll's own
+// Close would wait, called on the poller, for the poller.
 func (c *conn) shut() {
-	if !c.closed {
-		c.closed = true
-		go c.np.Close()
+	if !c.closed && !c.freed {
+		syscall.Shutdown(c.fd, syscall.SHUT_RDWR)
 	}
+	c.closed = true
+}
+
+// cut closes the connection whatever is open on it.
+func (c *conn) cut() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.shut()
 }
 
 // end closes the connection once what is open on it has been answered and written.
@@ -289,9 +395,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ending = true
-	if len(c.open) == 0 && len(c.out) == 0 && !c.writing {
-		c.shut()
-	}
+	c.finish()
+}
+
+func (c *conn) ends() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ending || c.closed
 }
 
 // askNoMore sends type 30, once.
@@ -309,18 +419,72 @@
 func (c *conn) restsSince() (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.used, len(c.open) == 0 && len(c.out) == 0 && !c.writing
+	return c.used, c.rests()
+}
+
+func (c *conn) rests() bool { return len(c.open) == 0 && len(c.out) == 0 && !c.writing }
+
+// Worth of connections to this process, least first: see Server.giveUp. One that was just opened or just used is
+// not yet known to say nothing, or to rest.
+const (
+	neverSound = iota
+	resting
+	justOpened
+	justUsed
+	atWork
+)
+
+// worth tells what a connection is worth, and since when.
+func (c *conn) worth(now time.Time) (int, time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.closed:
+		return atWork, now // it goes by itself
+	case !c.sound && now.Sub(c.born) > c.server.bounds.Fresh:
+		return neverSound, c.born
+	case !c.sound:
+		return justOpened, c.born
+	case c.rests() && now.Sub(c.used) > c.server.bounds.Rests:
+		return resting, c.used
+	case c.rests():
+		return justUsed, c.used
+	}
+	return atWork, now
+}
+
+// tidy closes what has said nothing sound for too long or does not end a frame, and what rests for longer than
+// callers do; it lets go of buffers that are not in use.
+func (c *conn) tidy(now time.Time, rest time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b, resting := &c.server.bounds, c.rests()
+	switch {
+	case c.closed || c.ending:
+	case !c.sound && now.Sub(c.born) > b.Hello:
+		c.server.odd.Note("silent", nil)
+		c.ending = true
+		c.finish()
+	case !c.begun.IsZero() && now.Sub(c.begun) > b.Hello:
+		c.server.odd.Note("unended", nil)
+		c.ending = true
+		c.finish()
+	case resting && now.Sub(c.used) > rest:
+		c.shut()
+	case resting && now.Sub(c.used) > b.Sweep:
+		c.out = nil
+	}
 }
 
 // lost: the connection is over, and with it the callers of all that was open.
 func (c *conn) lost() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closed = true
+	c.closed, c.freed = true, true
 	for number, st := range c.open {
 		delete(c.open, number)
 		close(st.left)
 	}
 	c.server.unsent.Add(-int64(len(c.out)))
-	c.out, c.spare = nil, nil
+	c.out = nil
 }
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -47,7 +47,13 @@
 	go link.Keep(ctx)
 	go g.Beat(ctx.Done(), link.Sample, link.Sampled())
 	go s.Serve()
-	t.Cleanup(func() { cancel(); s.loop.Shutdown(context.Background()) })
+	t.Cleanup(func() {
+		cancel()
+		s.TurnAway()
+		for _, c := range s.all() {
+			c.cut()
+		}
+	})
 	standin.Until(t, "work can be taken", s.good)
 	return &site{s, agent, address.String()}
 }
@@ -251,21 +257,35 @@
 	standin.Until(t, "no goroutine is left over", func() bool { return runtime.NumGoroutine() <= before+4 })
 }
 
-// TestFull: connections beyond the bound are closed at once and those that are open go on. Idle ones are asked
-// away by type 30, never those with an invocation.
+// TestFull: beyond the bound those that said nothing sound are given up, then those that rest, then the newest;
+// never those with an invocation. Idle ones are asked away by type 30.
 func TestFull(t *testing.T) {
 	tr := standin.NewTrace(t)
 	s := open(t, func(b *limit.Bounds, _ *terms.Sheet) { b.Connections = 2 })
-	one := standin.Dial(t, s.address)
-	standin.Dial(t, s.address)
-	standin.Until(t, "two are open", func() bool { n, _ := s.Counts(); return n == 2 })
-	_, err := standin.Dial(t, s.address).Next()
-	tr.Say("the third ends: %t", err != nil)
+	one, silent := standin.Dial(t, s.address), standin.Dial(t, s.address)
 	one.Send(standin.Invocation(1, 1))
-	s.run(t, "complete", "r")
-	tr.Say("the first goes on: %v", one.Expect())
-	one.Send(standin.Invocation(2, 2))
 	l := standin.Take(t, "a launch", s.agent.Launches)
+	standin.Until(t, "two are open", func() bool { n, _ := s.Counts(); return n == 2 })
+	check := standin.Raw(20, 1, "\x00")
+	three := standin.Dial(t, s.address)
+	three.Send(check)
+	tr.Say("the third: %v", three.Expect())
+	_, err := silent.Next()
+	tr.Say("the silent one ends: %t", err != nil)
+	two := standin.Dial(t, s.address)
+	two.Send(check)
+	tr.Say("the fourth: %v", two.Expect())
+	_, err = three.Next()
+	tr.Say("the one that rests ends: %t", err != nil)
+	two.Send(standin.Invocation(2, 2))
+	l2 := standin.Take(t, "a launch", s.agent.Launches)
+	_, err = standin.Dial(t, s.address).Next()
+	tr.Say("the fifth ends, both others have work: %t", err != nil)
+	s.agent.End(l.ID, "complete", "r")
+	s.agent.End(l2.ID, "complete", "r")
+	tr.Say("they go on: %v, %v", one.Expect(), two.Expect())
+	one.Send(standin.Invocation(2, 3))
+	l = standin.Take(t, "a launch", s.agent.Launches)
 	s.sweep(time.Nanosecond)
 	s.agent.End(l.ID, "complete", "r")
 	tr.Say("swept while it waits: %v", one.Expect())
@@ -280,6 +300,106 @@
 	tr.Say("room again: %v", late.Expect())
 }
 
+// TestBadCallers: whoever sends what cannot be read or run, floods or says nothing is answered or closed in time,
+// holds a bounded part of our memory, and no edge node notices.
+func TestBadCallers(t *testing.T) {
+	tr := standin.NewTrace(t)
+	s := open(t, func(b *limit.Bounds, _ *terms.Sheet) { b.Hello, b.Sweep = 150*time.Millisecond, 20*time.Millisecond })
+	done := make(chan struct{})
+	t.Cleanup(func() { close(done) })
+	go s.Sweep(done)
+	good := standin.Dial(t, s.address)
+	good.Send(standin.Raw(20, 1, "\x00"))
+	good.Expect()
+	number := 1000
+	alike := func(many int, edits ...string) (text string) {
+		for k := range many {
+			text += standin.Invocation(uint32(k+1), number+k, edits...)
+		}
+		number += many
+		return text
+	}
+	for _, c := range []struct{ what, sends string }{
+		{"says nothing", ""},
+		{"half a frame", alike(1)[:60]},
+		{"half a length", "\x00\x00"},
+		{"a frame that does not end", "\x00\x03\x00\x00\x0a\x00\x00\x00\x01" + strings.Repeat("x", 100_000)},
+		{"length too small", "\x00\x00\x00\x01xxxx"},
+		{"length negative", "\xff\xff\xff\xffxxxx"},
+		{"60 MB", "\x03\x93\x87\x00" + strings.Repeat("x", 60_000_000)},
+		{"no id", alike(1, "id=")},
+		{"not a number", alike(1, "cost=NaN")},
+		{"out of range", alike(1, "rank=7")},
+		{"unknown operation", alike(1, "class=x")},
+		{"unknown tenant", alike(1, "tenant=x")},
+		{"ids unknown to the farm", alike(1)},
+		{"two under one number", alike(1) + alike(1)},
+		{"taken back at once", strings.Repeat(alike(1)+standin.Raw(12, 1, ""), 300) + alike(1, "class=x")},
+		{"hundreds at once", alike(300)},
+		{"nothing but what cannot be used", strings.Repeat(alike(1, "class=x"), 300)},
+	} {
+		n := standin.Dial(t, s.address)
+		began := time.Now()
+		go n.Conn.Write([]byte(c.sends))
+		var codes [4]int
+		over := make(chan error, 1)
+		got := make(chan byte, 10_000)
+		go func() {
+			f, err := n.Next()
+			for ; err == nil; f, err = n.Next() {
+				got <- f.Code
+			}
+			over <- err
+		}()
+		answered := false
+		for !answered {
+			select {
+			case l := <-s.agent.Launches:
+				s.agent.Send("refusal launch " + l.ID + "\r\n")
+			case code := <-got:
+				codes[code]++
+				answered = true
+			case <-over:
+				answered = true
+			}
+		}
+		tr.Say("%s: in time %t, succeeded %d", c.what, time.Since(began) < 3*time.Second, codes[1])
+		for len(s.agent.Launches) > 0 {
+			l := <-s.agent.Launches
+			s.agent.Send("refusal launch " + l.ID + "\r\n")
+		}
+		good.Send(standin.Invocation(uint32(number), number))
+		id := fmt.Sprintf("%016x", number)
+		number++
+		for l := standin.Take(t, "a launch", s.agent.Launches); l.ID != id; l = standin.Take(t, "a launch", s.agent.Launches) {
+			s.agent.Send("refusal launch " + l.ID + "\r\n")
+		}
+		s.agent.End(id, "complete", "r")
+		if f := good.Expect(); f.Code != 1 {
+			t.Errorf("%s: beside it %v", c.what, f)
+		}
+		n.Close()
+		standin.Until(t, "it is gone", func() bool { conns, _ := s.Counts(); return conns == 1 })
+	}
+	s.rests(t, 1)
+}
+
+// TestHeldForGood: who holds a connection for longer than the deployment's callers do loses it once it rests.
+func TestHeldForGood(t *testing.T) {
+	tr := standin.NewTrace(t)
+	s := open(t, func(b *limit.Bounds, sheet *terms.Sheet) { b.Hello, sheet.Terms.IdleFor = 0, 50_000 })
+	held, busy := standin.Dial(t, s.address), standin.Dial(t, s.address)
+	held.Send(standin.Raw(20, 1, "\x00"))
+	tr.Say("%v", held.Expect())
+	busy.Send(standin.Invocation(1, 1))
+	l := standin.Take(t, "a launch", s.agent.Launches)
+	standin.Until(t, "it is closed", func() bool { s.sweep(0); n, _ := s.Counts(); return n == 1 })
+	_, err := held.Next()
+	tr.Say("the one that rests: %v", err)
+	s.agent.End(l.ID, "complete", "r")
+	tr.Say("the one with work: %v", busy.Expect())
+}
+
 // TestTurnAway: type 30 on every connection; what crosses it is still answered; nothing new connects.
 func TestTurnAway(t *testing.T) {
 	tr := standin.NewTrace(t)
--- a/edge/server.go
+++ b/edge/server.go
@@ -6,10 +6,12 @@
 	"context"
 	"errors"
 	"log"
+	"math"
 	"net"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -64,12 +66,29 @@
 	return s
 }
 
+// configured: netpoll has one set of these for the whole process.
+var configured sync.Once
+
 // Listen opens the address.
 func (s *Server) Listen(address string) (net.Addr, error) {
-	if err := netpoll.Configure(netpoll.Config{PollerNum: 1, LoggerOutput: remarks{s}}); err != nil {
+	configured.Do(func() {
+		netpoll.Configure(netpoll.Config{
+			PollerNum: 1, BufferSize: s.bounds.Input, LoggerOutput: remarks{s},
+			Runner: func(_ context.Context, f func()) { f() }, // on the poller, see conn
+		})
+	})
+	// What the system holds for a connection that is read late is bounded too.
+	lc := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) (err error) {
+		control := raw.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, s.bounds.Received)
+		})
+		return errors.Join(control, err)
+	}}
+	plain, err := lc.Listen(context.Background(), "tcp", address)
+	if err != nil {
 		return nil, err
 	}
-	l, err := netpoll.CreateListener("tcp", address)
+	l, err := netpoll.ConvertListener(plain)
 	if err != nil {
 		return nil, err
 	}
@@ -89,20 +108,20 @@
 func (s *Server) Serve() error { return s.loop.Serve(s.listener) }
 
 func (s *Server) accept(np netpoll.Connection) context.Context {
-	c := &conn{server: s, np: np, open: map[uint32]*stream{}, used: time.Now()}
-	s.mu.Lock()
-	full := len(s.conns) >= s.bounds.Connections
-	if !full {
-		s.conns[c] = struct{}{}
-	}
-	draining := s.draining
-	s.mu.Unlock()
+	now := time.Now()
+	c := &conn{server: s, np: np, fd: np.(netpoll.Conn).Fd(), open: map[uint32]*stream{}, born: now, used: now}
 	ctx := context.WithValue(context.Background(), connKey{}, c)
-	if full {
+	if s.full(0) {
 		s.odd.Note("connections", nil)
-		np.Close()
-		return ctx
+		if !s.giveUp(now) || s.full(s.bounds.Leaving) {
+			np.Close()
+			return ctx
+		}
 	}
+	s.mu.Lock()
+	s.conns[c] = struct{}{}
+	draining := s.draining
+	s.mu.Unlock()
 	np.AddCloseCallback(func(netpoll.Connection) error {
 		s.mu.Lock()
 		delete(s.conns, c)
@@ -116,6 +135,30 @@
 	return ctx
 }
 
+// full: so many are open, besides those that may be on their way out.
+func (s *Server) full(besides int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns) >= s.bounds.Connections+besides
+}
+
+// giveUp closes one connection to make room: one that never said anything sound, else the one that has rested
+// longest, else one that was just opened, else one just used; never one with work. It guards against clients that connect by the
+// hundred and say nothing, and callers that keep for good what they used once: neither may shut others out.
+func (s *Server) giveUp(now time.Time) bool {
+	var least *conn
+	worth, since := atWork, now
+	for _, c := range s.all() {
+		if w, at := c.worth(now); w < worth || w == worth && w < atWork && at.Before(since) {
+			least, worth, since = c, w, at
+		}
+	}
+	if least != nil {
+		least.cut()
+	}
+	return least != nil
+}
+
 // enter counts an invocation in, if there is room for it.
 func (s *Server) enter() bool {
 	if s.inHand.Add(1) > int64(s.bounds.Invocations) {
@@ -151,6 +194,9 @@
 	for {
 		select {
 		case end := <-run.Done():
+			if end.End == gate.Unrunnable {
+				c.odd("unrunnable", nil)
+			}
 			switch owed := s.gate.Report(ticket, end.End); {
 			case owed && end.End == gate.RunSucceeded:
 				c.answer(st, frame.Succeeded, 0, false, end.Result)
@@ -193,7 +239,8 @@
 	return len(line), nil
 }
 
-// Sweep asks callers off the connections that rest for longer than the gate wants, until done.
+// Sweep looks at all connections now and then, until done: it asks callers off those that rest for longer than
+// the gate wants, and ends those that have had their time.
 func (s *Server) Sweep(done <-chan struct{}) {
 	tick := time.NewTicker(s.bounds.Sweep)
 	defer tick.Stop()
@@ -203,17 +250,22 @@
 			return
 		case <-tick.C:
 		}
-		if most := s.gate.IdleFor(); most > 0 {
-			s.sweep(most)
-		}
+		s.sweep(s.gate.IdleFor())
 	}
 }
 
+// sweep does it once; most is how long the gate lets connections rest, 0 for as long as callers like.
 func (s *Server) sweep(most time.Duration) {
+	now := time.Now()
+	rest := time.Duration(s.sheet.Terms.IdleFor) * time.Microsecond
+	if rest += s.bounds.Hello; s.sheet.Terms.IdleFor <= 0 {
+		rest = math.MaxInt64
+	}
 	for _, c := range s.all() {
-		if since, rests := c.restsSince(); rests && time.Since(since) > most {
+		if since, rests := c.restsSince(); rests && most > 0 && now.Sub(since) > most {
 			c.askNoMore()
 		}
+		c.tidy(now, rest)
 	}
 }
 
--- a/farm/link.go
+++ b/farm/link.go
@@ -317,7 +317,7 @@
 		case refusal:
 			l.odd.Note("farm_refusal", fmt.Errorf("%.20q %.20q", n.command, id))
 			if string(n.command) == "launch" {
-				l.over(id, Outcome{End: gate.RunErrored})
+				l.over(id, Outcome{End: gate.Unrunnable})
 			}
 		case aside:
 			l.mu.Lock()
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -59,11 +59,13 @@
 	RunErrored
 	RunCancelled
 	NeverRan
+	Unrunnable // the farm knows of no such work: no caller's invocation
 	CallerLeft
 )
 
 var outcomes = [...]admit.Outcome{
 	RunSucceeded: admit.OK, RunErrored: admit.Errored, RunCancelled: admit.Canceled, NeverRan: admit.Void,
+	Unrunnable: admit.Unrunnable,
 }
 
 // Ticket stands for an invocation that Pick lets run.
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -14,6 +14,7 @@
 	Heap        int64 // bytes, the soft limit
 	HeapGrowth  int   // percent between two collections, while under that limit
 	Connections int   // of edge nodes, open at once
+	Leaving     int   // besides those, on their way out
 	Invocations int   // read and not answered, or answered and still on the farm
 
 	// Messages, in bytes unless said otherwise.
@@ -26,6 +27,10 @@
 	Unsent    int   // answers that one connection's peer leaves unread
 	UnsentAll int64 // the same for all connections together
 	Spare     int   // a buffer that is kept for the next answers
+	Part      int   // the same for the beginnings of frames
+	Input     int   // what one connection's turn brings at the most
+	Received  int   // what the system may hold of a connection's input
+	Unfit     int   // frames on one connection that cannot be used, or name work that the farm does not know
 
 	// The farm.
 	SampleWait  time.Duration // a tick waits so long for its sample
@@ -45,7 +50,10 @@
 	Bind   time.Duration // an address that is still taken, by one just killed, is tried for so long,
 	Rebind time.Duration // so often
 	Unread time.Duration // a peer that takes nothing for so long is gone
-	Sweep  time.Duration // between two looks at idle connections
+	Sweep  time.Duration // between two looks at all connections
+	Fresh  time.Duration // a connection this young may yet say something
+	Rests  time.Duration // one that has carried nothing for so long rests
+	Hello  time.Duration // it has said something sound by then, and ended any frame that it began; under 3 s
 
 	// The life of the process.
 	Quiet      time.Duration // between two log lines on the state, or on odd input of one kind
@@ -59,21 +67,27 @@
 	const (
 		mb      = 1 << 20
 		spare   = 24       // descriptors of the farm, the roster, the pollers and the standard streams
+		leaving = 12       // and of connections that are being closed
 		perInv  = 16 << 10 // bytes: goroutine, body, result, and the answer until it is written
-		perConn = 48 << 10 // bytes: netpoll's buffers and ours
+		perConn = 20 << 10 // bytes: netpoll's buffer and ours, with a frame begun
 	)
 	b := Bounds{
 		// One more than the cores: the poller of edge connections sleeps inside a system call, and what
 		// becomes due meanwhile should not wait until the runtime has taken its processor back.
 		Processors: int(math.Ceil(cores)) + 1,
 		Heap:       int64(memoryMB * mb * 5 / 8),
-		HeapGrowth: 400,
+		HeapGrowth: 100,
 
-		Streams: 32,
-		Frame:   262_144,
-		Body:    2 << 10,
-		Result:  4 << 10,
-		Line:    1 << 10,
+		Streams:  32,
+		Frame:    262_144,
+		Body:     2 << 10,
+		Result:   4 << 10,
+		Line:     1 << 10,
+		Part:     1 << 10,
+		Input:    4 << 10,
+		Received: 64 << 10,
+		Unfit:    32,
+		Leaving:  leaving,
 
 		SampleWait:  20 * time.Millisecond,
 		SampleOld:   300 * time.Millisecond,
@@ -88,7 +102,10 @@
 		Bind:        5 * time.Second,
 		Rebind:      20 * time.Millisecond,
 		Unread:      10 * time.Second,
-		Sweep:       500 * time.Millisecond,
+		Sweep:       250 * time.Millisecond,
+		Fresh:       50 * time.Millisecond,
+		Rests:       time.Second,
+		Hello:       2 * time.Second,
 		Quiet:       10 * time.Second,
 		NoticeLate:  100 * time.Millisecond,
 		LastWords:   30 * time.Millisecond,
@@ -99,7 +116,7 @@
 	b.UnsentAll = int64(memoryMB * mb / 8)
 	b.Spare = 16 << 10
 	room := memoryMB * mb / 4 // for connections, and as much for invocations; the rest is for collections
-	b.Connections = max(1, min(sockets-spare, int(room/perConn)))
+	b.Connections = max(1, min(sockets-spare-leaving, int(room/perConn)))
 	b.Invocations = max(1, min(b.Connections*b.Streams, int(room/perInv)))
 	return b
 }
