Ask away what rests longest before the table is full, give up several at once

From three quarters on those resting longest are asked away (type 30), and a full table gives up a thirty-second part at once.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -384,6 +384,29 @@
 	s.rests(t, 1)
 }
 
+// TestFilling: while the table fills those that rest longest are asked away; when it is full they are closed,
+// several at once where it is large.
+func TestFilling(t *testing.T) {
+	tr := standin.NewTrace(t)
+	s := open(t, func(b *limit.Bounds, _ *terms.Sheet) { b.Connections, b.Roomy, b.Rests = 64, 62, 0 })
+	var all []*standin.Node
+	for range 64 {
+		all = append(all, standin.Dial(t, s.address))
+		all[len(all)-1].Send(standin.Raw(20, 1, "\x00"))
+		all[len(all)-1].Expect()
+	}
+	s.sweep(0)
+	tr.Say("the two that rest longest: %v, %v", all[0].Expect(), all[1].Expect())
+	all[2].Send(standin.Raw(20, 2, "\x00"))
+	tr.Say("the third: %v", all[2].Expect())
+	late := standin.Dial(t, s.address)
+	late.Send(standin.Raw(20, 1, "\x00"))
+	tr.Say("one more: %v", late.Expect())
+	standin.Until(t, "three were given up", func() bool { n, _ := s.Counts(); return n == 62 })
+	_, err := all[1].Next()
+	tr.Say("the second: %v", err)
+}
+
 // TestHeldForGood: who holds a connection for longer than the deployment's callers do loses it once it rests.
 func TestHeldForGood(t *testing.T) {
 	tr := standin.NewTrace(t)
--- a/edge/server.go
+++ b/edge/server.go
@@ -3,12 +3,14 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"log"
 	"math"
 	"net"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -142,21 +144,38 @@
 	return len(s.conns) >= s.bounds.Connections+besides
 }
 
-// giveUp closes one connection to make room: one that never said anything sound, else the one that has rested
-// longest, else one that was just opened, else one just used; never one with work. It guards against clients that connect by the
-// hundred and say nothing, and callers that keep for good what they used once: neither may shut others out.
-func (s *Server) giveUp(now time.Time) bool {
-	var least *conn
-	worth, since := atWork, now
+// candidate is a connection with what it is worth, since when.
+type candidate struct {
+	*conn
+	worth int
+	since time.Time
+}
+
+// byWorth lists all connections, what is worth least to this process first.
+func (s *Server) byWorth(now time.Time) []candidate {
+	var list []candidate
 	for _, c := range s.all() {
-		if w, at := c.worth(now); w < worth || w == worth && w < atWork && at.Before(since) {
-			least, worth, since = c, w, at
-		}
+		worth, since := c.worth(now)
+		list = append(list, candidate{c, worth, since})
 	}
-	if least != nil {
-		least.cut()
+	slices.SortFunc(list, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.worth, b.worth), a.since.Compare(b.since))
+	})
+	return list
+}
+
+// giveUp closes connections to make room: those that never said anything sound, then those that have rested
+// longest, several at once, as looking for them costs time; else one that was just opened, else one just used;
+// never one with work. It guards against clients that connect by the hundred and say nothing, and callers that
+// keep for good what they used once: neither may shut others out.
+func (s *Server) giveUp(now time.Time) bool {
+	for n, c := range s.byWorth(now) {
+		if c.worth == atWork || n > 0 && c.worth > resting || n > s.bounds.Connections/32 {
+			return n > 0
+		}
+		c.cut()
 	}
-	return least != nil
+	return true
 }
 
 // enter counts an invocation in, if there is room for it.
@@ -267,6 +286,16 @@
 		}
 		c.tidy(now, rest)
 	}
+	// Where the table fills, those that rest longest are asked away before one has to be closed: callers that
+	// listen then send nothing that crosses the close.
+	if many, _ := s.Counts(); many > s.bounds.Roomy {
+		for _, c := range s.byWorth(now) {
+			if c.worth == resting && many > s.bounds.Roomy {
+				c.askNoMore()
+			}
+			many--
+		}
+	}
 }
 
 func (s *Server) all() []*conn {
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -14,6 +14,7 @@
 	Heap        int64 // bytes, the soft limit
 	HeapGrowth  int   // percent between two collections, while under that limit
 	Connections int   // of edge nodes, open at once
+	Roomy       int   // beyond so many, those that rest longest are asked away
 	Leaving     int   // besides those, on their way out
 	Invocations int   // read and not answered, or answered and still on the farm
 
@@ -117,6 +118,7 @@
 	b.Spare = 16 << 10
 	room := memoryMB * mb / 4 // for connections, and as much for invocations; the rest is for collections
 	b.Connections = max(1, min(sockets-spare-leaving, int(room/perConn)))
+	b.Roomy = b.Connections * 3 / 4
 	b.Invocations = max(1, min(b.Connections*b.Streams, int(room/perInv)))
 	return b
 }
