--- a/edge/server.go
+++ b/edge/server.go
@@ -46,9 +46,11 @@
 	inHand     atomic.Int64 // goroutines that carry an invocation
 	unsent     atomic.Int64 // bytes of answers not yet taken by peers, on all connections
 
-	mu       sync.Mutex
-	conns    map[*conn]struct{}
-	draining bool
+	draining atomic.Bool // callers are asked for no more
+	shut     sync.Once   // of the listener
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
 }
 
 type connKey struct{}
@@ -122,7 +124,6 @@
 	}
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
-	draining := s.draining
 	s.mu.Unlock()
 	np.AddCloseCallback(func(netpoll.Connection) error {
 		s.mu.Lock()
@@ -131,9 +132,6 @@
 		c.lost()
 		return nil
 	})
-	if draining {
-		c.askNoMore()
-	}
 	return ctx
 }
 
@@ -315,17 +313,22 @@
 	return len(s.conns), int(s.inHand.Load())
 }
 
-// TurnAway closes the listener and asks for no more on every connection.
+// TurnAway asks for no more on every connection. New ones are still taken, told by the answer to what comes on
+// them when to come back, and asked away with it: callers that have not heard yet that we leave would find nobody,
+// again and again, and the backends they then try would count retries that tell of no load.
 func (s *Server) TurnAway() {
-	s.mu.Lock()
-	s.draining = true
-	s.mu.Unlock()
-	s.listener.Close()
+	s.draining.Store(true)
 	for _, c := range s.all() {
 		c.askNoMore()
 	}
 }
 
+// Shut closes the listener, and asks for no more on the connections that came since TurnAway.
+func (s *Server) Shut() {
+	s.shut.Do(func() { s.listener.Close() })
+	s.TurnAway()
+}
+
 // Answered tells whether all that was read has been answered, and the answers written.
 func (s *Server) Answered() bool {
 	for _, c := range s.all() {
