--- a/cmd/milletbarrow/main.go
+++ b/cmd/milletbarrow/main.go
@@ -191,18 +191,15 @@
 	}
 }
 
-// leave goes on until the grace is over. Then nothing more runs; callers that have not heard of it are told when
-// to come back. It closes the listener in time for the last of them, and returns once all is answered and the
+// leave goes on until the grace is over, then takes nothing more, and returns once all is answered and the
 // callers have gone, or shortly before the stop.
 func leave(server *edge.Server, grace, stop time.Time, lim limit.Bounds) {
-	latest, last, shut := stop.Add(-lim.LastWords), stop.Add(-lim.LastChance), stop.Add(-lim.LastCalls)
+	latest, last := stop.Add(-lim.LastWords), stop.Add(-lim.LastChance)
 	if latest.Before(grace) {
 		grace = latest
 	}
 	time.Sleep(time.Until(grace))
 	server.TurnAway()
-	time.Sleep(time.Until(shut))
-	server.Shut()
 	quiet := 0
 	for now := time.Now(); now.Before(latest) || now.Before(last) && !server.Answered(); now = time.Now() {
 		conns, _ := server.Counts()
--- a/edge/conn.go
+++ b/edge/conn.go
@@ -258,10 +258,6 @@
 	delete(c.open, st.number)
 	c.used = time.Now()
 	c.append(func(to []byte) []byte { return frame.AppendAnswer(to, st.number, code, away, last, body) })
-	if c.server.draining.Load() && !c.noMore {
-		c.noMore = true
-		c.append(frame.AppendNoMore)
-	}
 	c.flush()
 }
 
--- a/edge/server.go
+++ b/edge/server.go
@@ -46,11 +46,9 @@
 	inHand     atomic.Int64 // goroutines that carry an invocation
 	unsent     atomic.Int64 // bytes of answers not yet taken by peers, on all connections
 
-	draining atomic.Bool // callers are asked for no more
-	shut     sync.Once   // of the listener
-
-	mu    sync.Mutex
-	conns map[*conn]struct{}
+	mu       sync.Mutex
+	conns    map[*conn]struct{}
+	draining bool
 }
 
 type connKey struct{}
@@ -124,6 +122,7 @@
 	}
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
+	draining := s.draining
 	s.mu.Unlock()
 	np.AddCloseCallback(func(netpoll.Connection) error {
 		s.mu.Lock()
@@ -132,6 +131,9 @@
 		c.lost()
 		return nil
 	})
+	if draining {
+		c.askNoMore()
+	}
 	return ctx
 }
 
@@ -313,22 +315,17 @@
 	return len(s.conns), int(s.inHand.Load())
 }
 
-// TurnAway asks for no more on every connection. New ones are still taken, told by the answer to what comes on
-// them when to come back, and asked away with it: callers that have not heard yet that we leave would find nobody,
-// again and again, and the backends they then try would count retries that tell of no load.
+// TurnAway closes the listener and asks for no more on every connection.
 func (s *Server) TurnAway() {
-	s.draining.Store(true)
+	s.mu.Lock()
+	s.draining = true
+	s.mu.Unlock()
+	s.listener.Close()
 	for _, c := range s.all() {
 		c.askNoMore()
 	}
 }
 
-// Shut closes the listener, and asks for no more on the connections that came since TurnAway.
-func (s *Server) Shut() {
-	s.shut.Do(func() { s.listener.Close() })
-	s.TurnAway()
-}
-
 // Answered tells whether all that was read has been answered, and the answers written.
 func (s *Server) Answered() bool {
 	for _, c := range s.all() {
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -59,7 +59,6 @@
 	// The life of the process.
 	Quiet      time.Duration // between two log lines on the state, or on odd input of one kind
 	NoticeLate time.Duration // a notice may be heard so late; that much of the grace is not used
-	LastCalls  time.Duration // the listener is closed so long before the stop
 	LastWords  time.Duration // the process ends so long before the stop, if all is answered
 	LastChance time.Duration // or, with answers still to be written, so long before it
 }
@@ -110,7 +109,6 @@
 		Hello:       2 * time.Second,
 		Quiet:       10 * time.Second,
 		NoticeLate:  100 * time.Millisecond,
-		LastCalls:   200 * time.Millisecond,
 		LastWords:   30 * time.Millisecond,
 		LastChance:  5 * time.Millisecond,
 	}
