--- a/limit/limit.go
+++ b/limit/limit.go
@@ -43,9 +43,10 @@
 	LinkMissed  time.Duration // without a link for so long, checks are answered with bad
 
 	// The roster.
-	Report  time.Duration // between two reports
-	Call    time.Duration // one report; as long as an entry lasts, so that a slow roster still counts it
-	Reports int           // on their way at once
+	Report      time.Duration // between two reports
+	ReportAgain time.Duration // after one that did not arrive
+	Call        time.Duration // one report; as long as an entry lasts, so that a slow roster still counts it
+	Reports     int           // on their way at once
 
 	// Edge nodes.
 	Bind   time.Duration // an address that is still taken, by one just killed, is tried for so long,
@@ -98,6 +99,7 @@
 		LinkMissed:  time.Second,
 		Dial:        time.Second,
 		Report:      700 * time.Millisecond,
+		ReportAgain: 150 * time.Millisecond,
 		Call:        2800 * time.Millisecond,
 		Reports:     4,
 		Bind:        5 * time.Second,
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -4,9 +4,11 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log"
+	"net"
 	"net/http"
 	"net/url"
 	"sync"
@@ -24,6 +26,7 @@
 	off    chan struct{}
 	once   sync.Once
 	moved  chan struct{} // the roster is at another address
+	missed chan struct{} // a report did not arrive, which is known at once
 	room   chan struct{} // holds one for each report on its way
 
 	mu      sync.Mutex
@@ -36,6 +39,7 @@
 	return &Reporter{
 		path: "/roster/" + url.PathEscape(name), address: address, bounds: bounds, off: make(chan struct{}),
 		room: make(chan struct{}, bounds.Reports), moved: make(chan struct{}, 1),
+		missed: make(chan struct{}, 1),
 		client: &http.Client{
 			Timeout:       bounds.Call,
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -87,14 +91,20 @@
 		if duty == "off" {
 			return
 		}
-		select {
-		case <-due.C:
-		case <-r.moved:
-			due.Reset(r.bounds.Report)
-		case <-r.off:
-			duty = "off"
-		case <-ctx.Done():
-			return
+		due.Reset(r.bounds.Report)
+		for waits := true; waits; {
+			waits = false
+			select {
+			case <-due.C:
+			case <-r.moved:
+			case <-r.missed: // one that has just started is listed no sooner than the roster hears of it
+				due.Reset(r.bounds.ReportAgain)
+				waits = true
+			case <-r.off:
+				duty = "off"
+			case <-ctx.Done():
+				return
+			}
 		}
 	}
 }
@@ -102,6 +112,13 @@
 // tell makes one report and logs it if it fares other than the one before.
 func (r *Reporter) tell(ctx context.Context, duty string) {
 	err := r.report(ctx, duty)
+	var slow net.Error
+	if err != nil && !(errors.As(err, &slow) && slow.Timeout()) {
+		select {
+		case r.missed <- struct{}{}:
+		default:
+		}
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if ill := err != nil; ill != r.ill && ctx.Err() == nil {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -51,6 +51,37 @@
 	}
 }
 
+// TestBack: a roster that was away hears of us soon after it is back, not only when the next report is due.
+func TestBack(t *testing.T) {
+	tr := standin.NewTrace(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	b := limit.For(1, 192, 1024)
+	b.Report, b.ReportAgain = time.Hour, 10*time.Millisecond
+	r := New(l.Addr().String(), "n3", b)
+	ctx, cancel := context.WithCancel(context.Background())
+	over := make(chan struct{})
+	go func() { r.Keep(ctx); close(over) }()
+	standin.Until(t, "a report was missed", func() bool { r.mu.Lock(); defer r.mu.Unlock(); return r.ill })
+	l, err = net.Listen("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	reports := make(chan string, 1)
+	s := http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		w.WriteHeader(http.StatusNoContent)
+		reports <- q.Method + " " + q.URL.Path
+	})}
+	go s.Serve(l)
+	t.Cleanup(func() { s.Close() })
+	tr.Say("%s", standin.Take(t, "a report", reports))
+	cancel()
+	standin.Take(t, "the end", over)
+}
+
 // TestDown: a roster that is not there holds nothing up.
 func TestDown(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
