What was taken back before it was decided does not come to the gate

Each was decided first, so it counted as a first try, as admitted for its tenant (whose other work then ranked as beyond its part) and, where it was launched late, as a run that had ended (Server.carry).

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -423,6 +423,21 @@
 	tr.Say("the one with work: %v", busy.Expect())
 }
 
+// TestTakenBack: what was taken back before it was decided does not come to the gate, nor to the farm.
+func TestTakenBack(t *testing.T) {
+	s := open(t, nil)
+	st := &stream{number: 1, left: make(chan struct{})}
+	close(st.left)
+	for n := range 300 {
+		s.enter()
+		s.carry(nil, st, gate.Invocation{ID: fmt.Sprint(n), At: gate.Now(), Wait: 4_000_000, KB: 1, Left: st.left}, "look", nil)
+	}
+	if counts, _ := s.gate.Counts(); counts.Picked != 0 || len(s.agent.Launches) != 0 {
+		t.Errorf("%+v, %d launches", counts, len(s.agent.Launches))
+	}
+	s.rests(t, 0)
+}
+
 // TestTurnAway: type 30 on every connection; what crosses it is still answered; nothing new connects.
 func TestTurnAway(t *testing.T) {
 	tr := standin.NewTrace(t)
--- a/edge/server.go
+++ b/edge/server.go
@@ -197,6 +197,11 @@
 			c.answer(st, frame.Errored, 0, false, nil)
 		}
 	}()
+	select {
+	case <-st.left: // taken back as soon as it came; hundreds of these must not pass for load or for first tries
+		return
+	default:
+	}
 	word, ticket := s.gate.Pick(inv)
 	if word.Verdict != gate.Run {
 		s.say(c, st, word)
@@ -204,7 +209,7 @@
 	}
 	select {
 	case <-st.left: // before it went out
-		s.gate.Report(ticket, gate.NeverRan)
+		s.gate.Report(ticket, gate.Unrunnable)
 		return
 	default:
 	}
