--- a/farm/farm_test.go
+++ b/farm/farm_test.go
@@ -118,6 +118,53 @@
 	tr.Say("%q, runs left %d", standin.Take(t, "the third end", three.Done()).Result, l.count())
 }
 
+// TestGarble: links broken within a notice or a result, with commands unread, or before the greeting; notices that
+// come twice under one number, with remarks in between. Each run ends once, with its own result.
+func TestGarble(t *testing.T) {
+	tr := standin.NewTrace(t)
+	a := standin.NewAgent(t)
+	l := keep(t, a)
+	standin.Until(t, "the link is up", l.Up)
+	id := func(n int) string { return fmt.Sprintf("00000000000000c%d", n) }
+	story(tr, l, a, id(1), "cut within its notice", func() {
+		a.Send("outcome 1 " + id(1) + " comp")
+		a.Cut()
+		a.End(id(1), "complete", "first")
+	})
+	story(tr, l, a, id(2), "cut within its result", func() {
+		a.Send("outcome 2 " + id(2) + " complete 3 6\r\nsec")
+		a.Cut()
+		a.End(id(2), "complete", "second")
+	})
+	other := l.Launch(id(9), "look", nil)
+	standin.Take(t, "a launch", a.Launches)
+	story(tr, l, a, id(3), "twice, with remarks", func() {
+		a.End(id(3), "complete", "third")
+		a.Notice("aside %d between\r\n")
+		a.Send("outcome 3 " + id(9) + " complete 3 5\r\nwrong\r\naside 4 between\r\naside 4 between\r\n")
+	})
+	story(tr, l, a, id(4), "its launch unread", func() {
+		a.Forget(id(4))
+		a.Cut()
+		tr.Say("launched again: %v", standin.Take(t, "a launch", a.Launches))
+		a.End(id(4), "complete", "fourth")
+	})
+	story(tr, l, a, id(5), "cut again before the greeting", func() {
+		for len(a.Subscribes) > 0 {
+			<-a.Subscribes
+		}
+		a.With(func(state, _ *string) { *state = "" })
+		for range 3 {
+			a.Cut()
+			tr.Say("subscribe %d", standin.Take(t, "a link", a.Subscribes))
+		}
+		a.End(id(5), "complete", "fifth")
+		a.With(func(state, _ *string) { *state = "hot 1" })
+	})
+	a.End(id(9), "complete", "its own")
+	tr.Say("the other: %q, launches left %d", standin.Take(t, "its end", other.Done()).Result, len(a.Launches))
+}
+
 // TestUnreadable: what cannot be read costs the link, and the run that it would have ended, no other; it must
 // not come again with each new link.
 func TestUnreadable(t *testing.T) {
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -377,6 +377,13 @@
 	}
 }
 
+// Forget makes the agent one that never heard of a launch.
+func (a *Agent) Forget(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.known, id)
+}
+
 // Cut ends the link.
 func (a *Agent) Cut() {
 	a.mu.Lock()
