--- a/admit/admit.go
+++ b/admit/admit.go
@@ -40,6 +40,7 @@
 	lowPerCore    = 1.0             // threshold of the lowest rank
 	topPerCore    = 2.5             // threshold of the highest rank
 	burst         = 4.0             // and so many more of it, whatever the cores: chance weighs more on few
+	lowBurst      = 2.0             // the same of the lowest rank
 	runPerCore    = 1.1             // runs wanted on the cores
 	busyShare     = 0.85            // cores count as busy from here on
 	crowdSafety   = 0.85            // part of the survivable crowd ever used
@@ -326,11 +327,11 @@
 // pressure is the smoothed run queue with what is known to have come and gone since.
 func (b *Backend) pressure() float64 { return b.queue + b.since }
 
-// threshold rises with rank from the cores to below the survivable crowd. A few that come together by
-// chance double the queue of two cores and hardly move that of many: they must not close the gate to high
-// ranks.
+// threshold rises with rank from little above the cores to below the survivable crowd. A few that come
+// together by chance double the queue of two cores and hardly move that of many: they must not close the
+// gate, least of all to high ranks.
 func (b *Backend) threshold(now Micros, rank float64) float64 {
-	low := lowPerCore * float64(b.t.Cores)
+	low := min(lowPerCore*float64(b.t.Cores)+lowBurst, b.crowd(now))
 	top := max(low, min(topPerCore*float64(b.t.Cores)+burst, b.crowd(now)))
 	return low + (top-low)*rank
 }
