The program is linked against the C library, as the fleet trial asks

Need: the trial of hundreds of backends loads a library into each process (LD_PRELOAD), which a static program would ignore, and follows one process.

--- a/cmd/milletbarrow/main_test.go
+++ b/cmd/milletbarrow/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"debug/elf"
 	"fmt"
 	"net"
 	"net/http"
@@ -9,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -22,15 +24,15 @@
 
 var program string
 
-// TestMain builds the program that the tests start.
+// TestMain builds the program that the tests start, with the build line of the platform.
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "milletbarrow")
 	if err != nil {
 		panic(err)
 	}
 	program = filepath.Join(dir, "milletbarrow")
-	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+	if err := buildAsDeployed(dir); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n", err)
 		os.Exit(1)
 	}
 	code := m.Run()
@@ -38,6 +40,58 @@
 	os.Exit(code)
 }
 
+// deployed is a line of the platform's file.
+func deployed(key string) (string, error) {
+	raw, err := os.ReadFile("../../deploy/balancer.toml")
+	if err != nil {
+		return "", err
+	}
+	found := regexp.MustCompile(`(?m)^` + key + ` = "(.*)"$`).FindSubmatch(raw)
+	if found == nil {
+		return "", fmt.Errorf("deploy/balancer.toml: no %s", key)
+	}
+	return string(found[1]), nil
+}
+
+// buildAsDeployed runs the build line with another place for what it builds.
+func buildAsDeployed(dir string) error {
+	line, err := deployed("build")
+	if err != nil {
+		return err
+	}
+	if strings.Count(line, "-o bin/") != 1 {
+		return fmt.Errorf("build: %q does not build into bin/", line)
+	}
+	build := exec.Command("sh", "-c", strings.Replace(line, "-o bin/", "-o '"+dir+"/'", 1))
+	build.Dir = "../.."
+	if out, err := build.CombinedOutput(); err != nil {
+		return fmt.Errorf("%w\n%s", err, out)
+	}
+	return nil
+}
+
+// TestLinkedAgainstTheCLibrary: a trial loads a library into the process, and follows that one process.
+func TestLinkedAgainstTheCLibrary(t *testing.T) {
+	built := []string{program}
+	if _, err := os.Stat("../../bin/milletbarrow"); err == nil {
+		built = append(built, "../../bin/milletbarrow")
+	}
+	for _, path := range built {
+		file, err := elf.Open(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		needs, err := file.ImportedLibraries()
+		file.Close()
+		if err != nil || !slices.ContainsFunc(needs, func(lib string) bool { return strings.HasPrefix(lib, "libc.so") }) {
+			t.Errorf("%s needs %v, %v: no C library", path, needs, err)
+		}
+	}
+	if run, err := deployed("run"); err != nil || run != "exec bin/milletbarrow" {
+		t.Errorf("run: %q, %v: not one process that takes the shell's place", run, err)
+	}
+}
+
 // backend is a started program with what is around it.
 type backend struct {
 	t       testing.TB
