Where retries bear no mark, an unusual wait that is told stands in for it

At fault: throttle(), whose only word was a count that stayed empty.

Dropped: the same subject or caller soon after a throttle here, as a caller comes back to a worker after 57 s in the mean at full size.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -34,6 +34,8 @@
 	retryWindow   = 4_000_000       // the recent past of the retry share
 	retryCut      = 0.10            // the source's retry budget
 	retryCutTop   = 0.50            // the same for the highest rank
+	usualWait     = 0.15            // a wait that so many arrivals tell is a first try's, where none is marked
+	sameWait      = 0.01            // waits that differ by less, as a part of the client timeout, are the same
 	deafShare     = 0.5             // retry share from which throttles are taken to come back
 	deafCores     = 0.5             // part of the cores that reads, from which it matters
 	smoothing     = 200_000         // time constant of the run queue
@@ -122,6 +124,8 @@
 	opened, tick, nextAt, drainAt, stopAt Micros
 
 	reads, retries         decaying
+	told                   decaying // waits, and
+	waits                  [6]wait  // those told most of late
 	firstCalls, retryCalls decaying
 	callTook, callsEnded   decaying // calls that succeeded, over long
 	callSpent, callsLate   decaying // time of all calls, ended or not, and successes, of late
@@ -189,6 +193,36 @@
 	return slices.Delete(list, n, n+1)
 }
 
+// wait is a time that callers wait for a try, as a part of the client timeout, and how many told it.
+type wait struct {
+	part float64
+	seen decaying
+}
+
+// unusual stands in for the retry mark where none is given: callers wait the same for each first try, and
+// for a later one what is left.
+func (b *Backend) unusual(now Micros, a Arrived, op *Operation) bool {
+	part, least := float64(a.Waited+a.Budget)/float64(op.ClientTimeout), &b.waits[0]
+	for n := range b.waits {
+		w := &b.waits[n]
+		w.seen.read(now)
+		if math.Abs(w.part-part) < math.Abs(least.part-part) {
+			least = w
+		}
+	}
+	if math.Abs(least.part-part) >= sameWait {
+		for n := range b.waits {
+			if w := &b.waits[n]; w.seen.sum < least.seen.sum {
+				least = w
+			}
+		}
+		*least = wait{part, over(paceOver)}
+	}
+	least.seen.add(now, 1)
+	b.told.add(now, 1)
+	return a.Budget > 0 && least.seen.sum < usualWait*b.told.sum
+}
+
 // become changes a phase, and what is counted by it.
 func (b *Backend) become(inv *invocation, to phase) {
 	p := inv.pace
@@ -214,7 +248,7 @@
 		t: t, chance: seed, byID: map[string]*invocation{}, kept: map[string]*entry{},
 		paces: make([]pace, len(t.Operations)), tenants: make([]decaying, len(t.QuotaPerSecond)),
 		drainAt: never, stopAt: never,
-		reads: over(retryWindow), retries: over(retryWindow),
+		reads: over(retryWindow), retries: over(retryWindow), told: over(paceOver),
 		firstCalls: over(callRetryOver), retryCalls: over(callRetryOver),
 		callTook: over(callUsualOver), callsEnded: over(callUsualOver),
 		callSpent: over(lately), callsLate: over(lately),
@@ -279,11 +313,12 @@
 
 // arrive is the ordinary path of an invocation, from the count of its mark to its line.
 func (b *Backend) arrive(now Micros, a Arrived, out []Action) []Action {
+	op := &b.t.Operations[a.Operation]
+	a.Retry = a.Retry || b.t.Unmarked && b.unusual(now, a, op)
 	b.reads.add(now, 1)
 	if a.Retry {
 		b.retries.add(now, 1)
 	}
-	op := &b.t.Operations[a.Operation]
 	if a.Waited < op.Objective/2 {
 		b.moved = now
 	}
--- a/admit/types.go
+++ b/admit/types.go
@@ -91,6 +91,7 @@
 	Linger         Micros // an abandoned call may stay below this long
 	MaxRetryAfter  Micros // 0: the advice to stay away is not passed on
 	Round          Micros // least time between two batches
+	Unmarked       bool   // further tries bear no mark
 	IdleFor        Micros // callers close connections idle for so long
 }
 
--- a/terms/terms.go
+++ b/terms/terms.go
@@ -39,6 +39,9 @@
 		Name      string  `json:"name"`
 		QuotaPerS float64 `json:"quota_per_s"`
 	} `json:"projects"`
+	Clients struct {
+		MarksRetry *bool `json:"marks_retry"` // absent: they are marked
+	} `json:"clients"`
 	OverShareWorth float64 `json:"over_share_worth"`
 	FleetSize      int     `json:"fleet_size"`
 	RoundMs        float64 `json:"round_ms"`
@@ -110,6 +113,7 @@
 		SharedBelow: f.Below == "one_for_all", CallShare: f.CallsOut, CallsOver: Micros(f.CallsOverMs),
 		Linger: Micros(f.LingerMs), Round: Micros(o.RoundMs), IdleFor: Micros(f.IdleMs),
 	}
+	t.Unmarked = o.Clients.MarksRetry != nil && !*o.Clients.MarksRetry
 	if o.Limits.RetryAfter {
 		t.MaxRetryAfter = Micros(o.Limits.MaxRetryAfterMs)
 	}
