--- a/admit/admit.go
+++ b/admit/admit.go
@@ -61,7 +61,7 @@
 	callWaitCore  = 2.0             // invocations waiting at calls, by core
 	awayLeast     = 50_000          // shortest advice to stay away
 	restMost      = 8e6             // callers that come less often than this, in the mean, are sparse
-	restLeast     = 1_000_000       // their connections are closed when idle for so long
+	restLeast     = 50_000          // their connections are closed when idle for so long
 	leastValue    = 0.05            // least weight, and the weight or allowance while stuck
 	stuckLeast    = 2_000_000       // full cores that read nothing in time and end nothing for so long are stuck
 	stuckCosts    = 8               // or for so many usual runs, if that is longer
