--- a/admit/admit.go
+++ b/admit/admit.go
@@ -61,6 +61,7 @@
 	callWaitCore  = 2.0             // invocations waiting at calls, by core
 	awayLeast     = 50_000          // shortest advice to stay away
 	restMost      = 8e6             // callers that come less often than this, in the mean, are sparse
+	paceSoon      = 1_000_000       // after so long the rate of arrivals is known well enough
 	restLeast     = 50_000          // their connections are closed when idle for so long
 	leastValue    = 0.05            // least weight, and the weight or allowance while stuck
 	stuckLeast    = 2_000_000       // full cores that read nothing in time and end nothing for so long are stuck
@@ -913,11 +914,13 @@
 // little to send; where they are few nothing is closed. It may harm where opening is dear and some callers
 // send far more than most.
 func (b *Backend) connections(now Micros, out []Action) []Action {
-	gap, limit, after := float64(b.t.Callers)*retryWindow/max(1, b.reads.read(now)), restMost, b.t.IdleFor
+	age := float64(now - b.opened)
+	rate := max(1, b.reads.read(now)) / (retryWindow * (1 - math.Exp(-age/retryWindow)))
+	gap, limit, after := float64(b.t.Callers)/rate, restMost, b.t.IdleFor
 	if b.sparse {
 		limit /= 2
 	}
-	if now < b.opened+retryWindow || b.t.IdleFor <= restLeast || b.sparse == (gap > limit) {
+	if age < paceSoon || b.t.IdleFor <= restLeast || b.sparse == (gap > limit) {
 		return out
 	}
 	if b.sparse = !b.sparse; b.sparse {
