Where value is billed by invocation, dearer operations go first in line

The adapter passed on neither classes[].worth nor worth_by. The line now goes by response ratio times billed value, and what is counted ahead of an invocation is what will run before it.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -92,7 +92,7 @@
 	unread               Micros // it waited so long to be read, or is shed for so long
 	phase                phase
 	retry                bool
-	tenant, attempts     int     // attempts: calls made
+	of, tenant, attempts int     // operation; attempts: calls made
 	notUntil             Micros  // the next call
 	began, leftAt        float64 // coreTime at the start of the run, and when it left the cores for a call
 	taken                bool    // past the gate
@@ -120,6 +120,7 @@
 	byID    map[string]*invocation
 	kept    map[string]*entry
 	paces   []pace
+	before  []float64  // core time in line of each, while it is gone through
 	tenants []decaying // admitted invocations of each
 
 	opened, tick, nextAt, drainAt, stopAt Micros
@@ -247,7 +248,7 @@
 func New(t Terms, seed uint64) *Backend {
 	b := &Backend{
 		t: t, chance: seed, byID: map[string]*invocation{}, kept: map[string]*entry{},
-		paces: make([]pace, len(t.Operations)), tenants: make([]decaying, len(t.QuotaPerSecond)),
+		paces: make([]pace, len(t.Operations)), before: make([]float64, len(t.Operations)), tenants: make([]decaying, len(t.QuotaPerSecond)),
 		drainAt: never, stopAt: never,
 		reads: over(retryWindow), retries: over(retryWindow), told: over(paceOver),
 		firstCalls: over(callRetryOver), retryCalls: over(callRetryOver),
@@ -258,7 +259,11 @@
 	}
 	b.t.Cores, b.t.Fleet, b.t.Callers = max(t.Cores, 1), max(t.Fleet, 1), max(t.Callers, 1)
 	b.tick = max(min(tickMost, t.AnswerSlack/3), t.Round, 1000)
+	b.t.Operations = slices.Clone(t.Operations)
 	for n := range b.paces {
+		if op := &b.t.Operations[n]; op.Value <= 0 || t.ByWork {
+			op.Value = 1 // not told, or all are alike for their length
+		}
 		b.paces[n] = pace{spent: over(paceOver), units: over(paceOver)}
 	}
 	for n := range b.tenants {
@@ -331,7 +336,7 @@
 	*inv = invocation{
 		id: a.ID, seq: b.seq, op: op, pace: &b.paces[a.Operation], rank: a.Rank, kb: a.KB, unit: 1,
 		unread: max(a.Waited, a.Shed), arrived: now - a.Waited, due: now + a.Budget, retry: a.Retry,
-		tenant: a.Tenant,
+		of: a.Operation, tenant: a.Tenant,
 	}
 	if a.Budget <= 0 {
 		inv.due = max(now, inv.arrived+op.ClientTimeout)
@@ -387,7 +392,7 @@
 
 	// The gate: the smoothed run queue against the threshold of this rank, on busy cores. Callers that come
 	// back do not lift it for a tenant's excess: that alone would fill the lines of a fleet that is full.
-	if b.hopeless(now, inv, b.ahead(now)-b.cost(now, inv)) {
+	if b.hopeless(now, inv, b.ahead(now, op)-b.cost(now, inv)) {
 		return b.throttle(now, inv, out, b.whose(now, inv))
 	}
 	if b.busy() && !(b.deaf(now) && (len(b.tenants) == 0 || inv.rank >= shareRank)) &&
@@ -464,17 +469,25 @@
 	return inv.unit * inv.pace.ratio(now) * b.drag(now)
 }
 
-// ahead is the core time of all that is held.
-func (b *Backend) ahead(now Micros) float64 {
+// ahead is the core time of all that is held, or of what of it runs before a new one of an operation.
+func (b *Backend) ahead(now Micros, op *Operation) float64 {
 	sum := 0.0
 	for n := range b.paces {
 		if p := &b.paces[n]; len(p.line) > 0 {
-			sum += p.waits * p.ratio(now) * b.drag(now)
+			sum += p.waits * p.ratio(now) * b.drag(now) * yields(&b.t.Operations[n], op)
 		}
 	}
 	return sum
 }
 
+// yields is the part of an operation's work in line that runs before an invocation of another that comes later.
+func yields(first, op *Operation) float64 {
+	if op == nil || op.Value <= first.Value {
+		return 1
+	}
+	return first.Value / op.Value
+}
+
 // hopeless: with what is held before it and what runs beside it, it ends after its objective.
 // It holds against any cause of slowness; it harms where costs are guessed far too high.
 func (b *Backend) hopeless(now Micros, inv *invocation, before float64) bool {
@@ -542,20 +555,20 @@
 	return out
 }
 
-// next is the head of the short or of the long line, whichever waited longer for its length.
-func (b *Backend) next(now Micros) *invocation {
-	mean, n := b.ahead(now), b.count(held)
-	var heads [2]*invocation
+// next is, of the heads of each operation's short and long line, the one that waited longest for its length,
+// a dearer operation so many times longer as it is worth more.
+func (b *Backend) next(now Micros) (best *invocation) {
+	mean, n, most := b.ahead(now, nil), b.count(held), 0.0
 	for k := range b.paces {
 		p := &b.paces[k]
 		var had [2]bool
 		for _, inv := range p.line {
-			line := 0
-			if b.cost(now, inv)*n > mean {
+			line, cost := 0, b.cost(now, inv)
+			if cost*n > mean {
 				line = 1
 			}
-			if !had[line] && (heads[line] == nil || inv.seq < heads[line].seq) {
-				heads[line] = inv
+			if ratio := float64(now-inv.arrived+1) / cost * inv.op.Value; !had[line] && (best == nil || ratio > most) {
+				best, most = inv, ratio
 			}
 			had[line] = true
 			if p.low == p.high || had[0] && had[1] { // the others are like those seen, and came later
@@ -563,11 +576,7 @@
 			}
 		}
 	}
-	ratio := func(inv *invocation) float64 { return float64(now-inv.arrived) / b.cost(now, inv) }
-	if short, long := heads[0], heads[1]; short == nil || long != nil && ratio(long) > ratio(short) {
-		return long
-	}
-	return heads[0]
+	return best
 }
 
 func (b *Backend) count(p phase) float64 { return float64(b.in[p]) }
@@ -841,13 +850,19 @@
 
 // settle answers what can wait no longer, and what has no hope left.
 func (b *Backend) settle(now Micros, out []Action) []Action {
-	before := 0.0
+	clear(b.before)
 	b.seen = append(b.seen[:0], b.hand...)
 	for _, inv := range b.seen {
 		due := now+b.tick >= min(inv.due, b.lastCall())
-		if inv.phase == held && !due && !b.hopeless(now, inv, before) {
-			before += b.cost(now, inv)
-			continue
+		if inv.phase == held && !due {
+			before := 0.0
+			for n := range b.before {
+				before += b.before[n] * yields(&b.t.Operations[n], inv.op)
+			}
+			if !b.hopeless(now, inv, before) {
+				b.before[inv.of] += b.cost(now, inv)
+				continue
+			}
 		}
 		switch {
 		case inv.answered:
--- a/admit/types.go
+++ b/admit/types.go
@@ -55,6 +55,7 @@
 // Operation is what the deployment says of one kind of invocation.
 type Operation struct {
 	Repeat        Repeat
+	Value         float64 // billed value, for each unit of work where Terms.ByWork; 0: not told
 	Objective     Micros  // latency objective: answer wanted by
 	Stretch       float64 // the objective grows by this multiple of the invocation's own work
 	ClientTimeout Micros
@@ -91,6 +92,7 @@
 	Linger         Micros // an abandoned call may stay below this long
 	MaxRetryAfter  Micros // 0: the advice to stay away is not passed on
 	Round          Micros // least time between two batches
+	ByWork         bool   // values are billed for each unit of work
 	Unmarked       bool   // further tries bear no mark
 	IdleFor        Micros // callers close connections idle for so long
 }
--- a/terms/terms.go
+++ b/terms/terms.go
@@ -34,6 +34,7 @@
 		Repeat     string  `json:"repeat"`
 		WindowMs   float64 `json:"window_ms"`
 		LateValue  float64 `json:"late_value"`
+		Worth      float64 `json:"worth"`
 	} `json:"classes"`
 	Projects []struct {
 		Name      string  `json:"name"`
@@ -43,6 +44,7 @@
 		MarksRetry *bool `json:"marks_retry"` // absent: they are marked
 	} `json:"clients"`
 	OverShareWorth float64 `json:"over_share_worth"`
+	WorthBy        string  `json:"worth_by"`
 	FleetSize      int     `json:"fleet_size"`
 	RoundMs        float64 `json:"round_ms"`
 	Limits         struct {
@@ -111,7 +113,7 @@
 		AnswerSlack: Micros(r.AnswerSlackMs), DrainGrace: Micros(r.DrainGraceMs),
 		ColdShare: r.ColdShare, ColdFor: Micros(r.ColdMs), FallMultiple: r.FallMultiple, FallOver: Micros(r.FallMs),
 		SharedBelow: f.Below == "one_for_all", CallShare: f.CallsOut, CallsOver: Micros(f.CallsOverMs),
-		Linger: Micros(f.LingerMs), Round: Micros(o.RoundMs), IdleFor: Micros(f.IdleMs),
+		Linger: Micros(f.LingerMs), Round: Micros(o.RoundMs), ByWork: o.WorthBy == "work", IdleFor: Micros(f.IdleMs),
 	}
 	t.Unmarked = o.Clients.MarksRetry != nil && !*o.Clients.MarksRetry
 	if o.Limits.RetryAfter {
@@ -124,7 +126,7 @@
 	}
 	for n, c := range o.Classes {
 		op := admit.Operation{
-			Repeat: repeats[c.Repeat], Objective: Micros(c.AimMs), Stretch: c.AimStretch,
+			Repeat: repeats[c.Repeat], Value: c.Worth, Objective: Micros(c.AimMs), Stretch: c.AimStretch,
 			ClientTimeout: Micros(c.DeadlineMs), Window: Micros(c.WindowMs), LateValue: c.LateValue,
 		}
 		if n < len(f.ClassCalls) {
