--- a/admit/admit.go
+++ b/admit/admit.go
@@ -43,7 +43,7 @@
 	topPerCore    = 2.5             // threshold of the highest rank
 	burst         = 4.0             // and so many more of it, whatever the cores: chance weighs more on few
 	lowBurst      = 2.0             // the same of the lowest rank
-	runPerCore    = 1.1             // runs wanted on the cores
+	runPerCore    = 1.0             // runs wanted on the cores; one more of two cores slows all where crowds are dear
 	busyShare     = 0.85            // cores count as busy from here on
 	crowdSafety   = 0.85            // part of the survivable crowd ever used
 	startMemory   = 0.80            // no start beyond this part of memory
