--- a/admit/admit.go
+++ b/admit/admit.go
@@ -298,6 +298,7 @@
 		if inv := b.byID[e.ID]; inv != nil && !inv.answered {
 			b.become(inv, atCall)
 			inv.notUntil, inv.leftAt = now, b.coreTime
+			b.begun--
 			if b.count(atCall) > callWaitCore*float64(b.t.Cores) {
 				out = b.leaveCall(now, inv, out)
 			}
@@ -803,6 +804,7 @@
 // resume is a run back on the cores; its time at the call is not core time.
 func (b *Backend) resume(inv *invocation) {
 	b.become(inv, running)
+	b.begun++
 	inv.attempts = 0
 	inv.began += b.coreTime - inv.leftAt
 }
