--- a/admit/admit.go
+++ b/admit/admit.go
@@ -62,6 +62,7 @@
 	awayLeast     = 50_000          // shortest advice to stay away
 	restMost      = 8e6             // callers that come less often than this, in the mean, are sparse
 	paceSoon      = 1_000_000       // after so long the rate of arrivals is known well enough
+	fewCallers    = 16              // a core: any table has room for them all, and nothing is closed
 	restLeast     = 50_000          // their connections are closed when idle for so long
 	leastValue    = 0.05            // least weight, and the weight or allowance while stuck
 	stuckLeast    = 2_000_000       // full cores that read nothing in time and end nothing for so long are stuck
@@ -143,6 +144,7 @@
 	spent            decaying // core time of all runs, ended or not
 	earned, ended    decaying // what the runs that ended were expected to cost, and how many they were
 	moved, sickTill  Micros   // when a read was last in time or a run last ended well; not healthy until
+	lateAt           Micros   // when a read was last not in time
 	healthy          bool     // as last sent
 	value            float64  // the free value last sent
 	sparse           bool     // idle connections are closed early
@@ -328,6 +330,8 @@
 	}
 	if a.Waited < op.Objective/2 {
 		b.moved = now
+	} else {
+		b.lateAt = now
 	}
 	inv := &invocation{}
 	if n := len(b.spare); n > 0 {
@@ -889,7 +893,7 @@
 // together.
 func (b *Backend) health(now Micros, out []Action) []Action {
 	usual := b.earned.read(now) / max(b.ended.read(now), 0.01)
-	if b.crowded() && now > b.moved+max(stuckLeast, Micros(stuckCosts*usual)) {
+	if b.crowded() && b.lateAt > b.moved && now > b.moved+max(stuckLeast, Micros(stuckCosts*usual)) {
 		b.sickTill = now + stuckFor
 	}
 	if good := now >= b.sickTill && b.drainAt == never; good != b.healthy {
@@ -937,7 +941,7 @@
 	if b.sparse {
 		limit /= 2
 	}
-	if age < paceSoon || b.t.IdleFor <= restLeast || b.sparse == (gap > limit) {
+	if age < paceSoon || b.t.IdleFor <= restLeast || b.t.Callers <= fewCallers*b.t.Cores || b.sparse == (gap > limit) {
 		return out
 	}
 	if b.sparse = !b.sparse; b.sparse {
