--- a/admit/types.go
+++ b/admit/types.go
@@ -93,6 +93,7 @@
 	MaxRetryAfter  Micros // 0: the advice to stay away is not passed on
 	Round          Micros // least time between two batches
 	ByWork         bool   // values are billed for each unit of work
+	Follows        bool   // starts are proposed, one at a time, and happen with Launched
 	Unmarked       bool   // further tries bear no mark
 	IdleFor        Micros // callers close connections idle for so long
 }
@@ -120,6 +121,9 @@
 	Shed      Micros // a level of reduced service sheds it, and may do so for so long; 0: it does not
 }
 
+// Launched: another has started what this instance holds; see Terms.Follows.
+type Launched struct{ ID string }
+
 // Finished: a run, or a reuse, has ended.
 type Finished struct {
 	ID      string
--- a/cmd/milletbarrow/serve.go
+++ b/cmd/milletbarrow/serve.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"strings"
@@ -83,6 +84,7 @@
 		}
 	}
 	tally := odd.New(lim.Quiet)
+	g.Watch(b.Watch)
 	link := farm.New(b.Farm, lim, tally, g.Open)
 	server := edge.New(b.Sheet, lim, tally, g, link)
 	reports := roster.New(b.Roster, b.Name, lim)
@@ -200,6 +202,7 @@
 	ctx context.Context, b *terms.Backend, file, levelsFile string, hangup <-chan os.Signal, g *gate.Gate,
 	link *farm.Link, reports *roster.Reporter,
 ) {
+	watching := b.Watch
 	for {
 		select {
 		case <-ctx.Done():
@@ -215,6 +218,11 @@
 			"left_as_they_are", strings.Join(b.Fixed(later), " "))
 		link.Move(later.Farm)
 		reports.Move(later.Roster)
+		if !reflect.DeepEqual(watching, later.Watch) { // else its counts go on
+			watching = later.Watch
+			g.Watch(watching)
+			slog.Info("watch", "on", watching != nil)
+		}
 		if levelsFile == "" {
 			continue
 		}
@@ -280,6 +288,9 @@
 		"goroutines", runtime.NumGoroutine(), "heap_kb", m.HeapAlloc>>10, "system_kb", m.Sys>>10,
 		"collections", m.NumGC, "picked", n.Picked, "used_up", n.UsedUp, "run", n.Run, "throttled", n.Throttled,
 		"errored", n.Errored, "left", n.Left, "ticks", n.Ticks, "unsampled", n.Unsampled, "faults", n.Faults)
+	if c, on := g.Watched(); on {
+		slog.Info("watched", "otherwise", c.String())
+	}
 }
 
 // stateOf is what the inspection socket tells.
@@ -297,6 +308,9 @@
 		s.Ladder, s.Level, s.Depth, s.Shed, s.Changes = r.Ladder, r.Level, r.Depth, r.Shed, r.Changes
 		s.Clock, s.Signals = int64(r.At), r.Signals.String()
 	}
+	if c, on := g.Watched(); on {
+		s.Watched = c.Map()
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.heard {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -118,6 +118,7 @@
 	tick    chan struct{} // closed at the next tick; nil while nobody waits for it
 	counts  Counts
 	reduced *reduction // nil without a ladder
+	watched *watched   // nil without settings to be watched
 }
 
 // Counts are what has passed since the start.
@@ -159,7 +160,9 @@
 	} else if g.reduced != nil {
 		g.reduced.meter.Warms(levels.Micros(proc.Now()) + levels.Micros(max(0, t.ColdFor-ago)))
 	}
-	g.decide(Now()-min(ago, t.ColdFor), admit.Opened{})
+	at := Now() - min(ago, t.ColdFor)
+	g.openWatch(at, cold)
+	g.decide(at, admit.Opened{})
 }
 
 // Pick takes an invocation in and blocks until it is to run, or is throttled or errored, or its caller has
@@ -386,6 +389,7 @@
 	for _, act := range g.acts {
 		g.carryOut(act)
 	}
+	g.saw(now, ev)
 	return nil
 }
 
--- /dev/null
+++ b/gate/watch.go
@@ -0,0 +1,57 @@
+package gate
+
+import (
+	"milletbarrow/admit"
+	"milletbarrow/terms"
+	"milletbarrow/watch"
+)
+
+// watched is what settings that are not acted on add to a gate. The gate's lock guards it.
+type watched struct {
+	sheet   *terms.Sheet
+	watcher *watch.Watcher // nil until the gate is open
+}
+
+// Watch counts from now on where other settings would have decided otherwise; nil ends it. Nothing that they decide
+// leaves the gate. What is in hand now is not compared.
+func (g *Gate) Watch(sheet *terms.Sheet) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.watched = nil
+	if sheet == nil {
+		return
+	}
+	g.watched = &watched{sheet: sheet}
+	if g.backend != nil {
+		g.openWatch(Now(), false)
+	}
+}
+
+// openWatch opens the second instance as the first is opened.
+func (g *Gate) openWatch(at Micros, cold bool) {
+	w := g.watched
+	if w == nil {
+		return
+	}
+	t := w.sheet.Terms
+	t.JustStarted = cold
+	t.DrainGrace = max(0, t.DrainGrace-Micros(g.bounds.NoticeLate.Microseconds()))
+	w.watcher = watch.New(t, g.seed, at)
+}
+
+// saw tells the second instance of what the first has just decided.
+func (g *Gate) saw(now Micros, ev admit.Event) {
+	if g.watched != nil && g.watched.watcher != nil {
+		g.watched.watcher.Saw(now, ev, g.acts)
+	}
+}
+
+// Watched has the counts of what is watched; ok is false where nothing is.
+func (g *Gate) Watched() (c watch.Counts, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.watched == nil || g.watched.watcher == nil {
+		return c, g.watched != nil
+	}
+	return g.watched.watcher.Counts(), true
+}
--- a/inspect/inspect.go
+++ b/inspect/inspect.go
@@ -49,6 +49,8 @@
 	Changes []string `json:"changes,omitempty"`
 	Clock   int64    `json:"clock_us,omitempty"` // of the signals
 	Signals string   `json:"signals,omitempty"`  // the latest, as a line of a trace has them
+
+	Watched map[string]int `json:"watched,omitempty"` // by kind, where watched settings would have decided otherwise
 }
 
 // Pin holds a level of reduced service; an empty level lets the signals decide again.
--- a/terms/backend.go
+++ b/terms/backend.go
@@ -30,7 +30,8 @@
 		Sockets  int     `json:"sockets"`
 	} `json:"limits"`
 	Sheet *Sheet `json:"settings"`
-	Hash  string `json:"-"` // of the file as it was read, 16 hex digits
+	Watch *Sheet `json:"watch"` // settings that are watched and not acted on; nil: none
+	Hash  string `json:"-"`     // of the file as it was read, 16 hex digits
 }
 
 // Seed starts the random numbers; in the file it is text of hex digits.
@@ -112,7 +113,21 @@
 	if b.Sheet == nil {
 		return errors.New("settings: missing")
 	}
-	return b.Sheet.check()
+	if err := b.Sheet.check(); err != nil || b.Watch == nil {
+		return err
+	}
+	if err := b.Watch.sound("watch"); err != nil {
+		return err
+	}
+	switch w := b.Watch; {
+	case !slices.Equal(w.Operations, b.Sheet.Operations):
+		return fmt.Errorf("watch.classes: %q, and settings.classes has %q", w.Operations, b.Sheet.Operations)
+	case !slices.Equal(w.Tenants, b.Sheet.Tenants):
+		return fmt.Errorf("watch.projects: %q, and settings.projects has %q", w.Tenants, b.Sheet.Tenants)
+	case w.Terms.Cores != b.Sheet.Terms.Cores:
+		return fmt.Errorf("watch.family_info.n_cores: %d, and this machine has %d", w.Terms.Cores, b.Sheet.Terms.Cores)
+	}
+	return nil
 }
 
 // plain: it stands in a line of words or a path as it is.
@@ -120,22 +135,13 @@
 	return !slices.ContainsFunc([]byte(s), func(c byte) bool { return c <= ' ' || c >= 0x7f || c == '/' })
 }
 
-// check tells what this program cannot do though the deployment asks for it, and what no backend could use.
+// check tells what no backend could use, and what this program cannot do though the deployment asks for it.
 func (s *Sheet) check() error {
+	if err := s.sound("settings"); err != nil {
+		return err
+	}
 	t := &s.Terms
 	switch {
-	case len(t.Operations) == 0:
-		return errors.New("settings.classes: none")
-	case t.Cores < 1:
-		return fmt.Errorf("settings.family_info.n_cores: %d", t.Cores)
-	case !(t.MemoryKB > 0):
-		return fmt.Errorf("settings.family_info.mem_limit_kb: %v", t.MemoryKB)
-	case !(t.RunFactor >= 1) || math.IsInf(t.RunFactor, 0):
-		return fmt.Errorf("settings.family_info.run_factor: %v", t.RunFactor)
-	case t.AnswerSlack <= 0:
-		return errors.New("settings.invariants.answer_slack_ms: not above 0")
-	case !(t.FallMultiple >= 1):
-		return fmt.Errorf("settings.invariants.fall_multiple: %v", t.FallMultiple)
 	case s.words.below != "off" && s.words.below != "":
 		return fmt.Errorf("settings.family_info.below: %q, and calls below have no line here", s.words.below)
 	case t.Fresh > 0:
@@ -146,24 +152,77 @@
 		return fmt.Errorf("settings.family_info.preemption: %q, and the farm has no line for it",
 			s.words.preemption)
 	}
+	for n := range t.Operations {
+		if s.words.repeats[n] != "idempotent" && s.words.repeats[n] != "at_most_once" {
+			return fmt.Errorf("settings.classes[%d].repeat: %q has no field in the frames", n, s.words.repeats[n])
+		}
+	}
+	return nil
+}
+
+// sound tells what no backend could use, or what contradicts itself; under is where the object stands.
+func (s *Sheet) sound(under string) error {
+	t, words := &s.Terms, &s.words
+	unsound := func(field, format string, args ...any) error {
+		return fmt.Errorf("%s.%s: %s", under, field, fmt.Sprintf(format, args...))
+	}
+	switch {
+	case len(t.Operations) == 0:
+		return unsound("classes", "none")
+	case t.Cores < 1:
+		return unsound("family_info.n_cores", "%d", t.Cores)
+	case !(t.MemoryKB > 0):
+		return unsound("family_info.mem_limit_kb", "%v", t.MemoryKB)
+	case !(t.RunFactor >= 1) || math.IsInf(t.RunFactor, 0):
+		return unsound("family_info.run_factor", "%v", t.RunFactor)
+	case t.AnswerSlack <= 0:
+		return unsound("invariants.answer_slack_ms", "not above 0")
+	case !(t.FallMultiple >= 1):
+		return unsound("invariants.fall_multiple", "%v", t.FallMultiple)
+	case words.worthBy != "" && words.worthBy != "request" && words.worthBy != "work":
+		return unsound("worth_by", "%q is neither request nor work", words.worthBy)
+	case words.preemption != "" && !has(preemptions, words.preemption):
+		return unsound("family_info.preemption", "%q is none of off, discard and freeze", words.preemption)
+	case words.say != "" && !has(freeValues, words.say):
+		return unsound("family_info.say", "%q is none of off, floor, allowance and weight", words.say)
+	case !slices.Contains([]string{"", "off", "one_for_all", "tier"}, words.below):
+		return unsound("family_info.below", "%q is none of off, one_for_all and tier", words.below)
+	case t.SharedBelow && !(t.CallShare > 0 && t.CallsOver > 0):
+		return unsound("family_info.calls_out", "%v over %v us, and one dependency serves all", t.CallShare, t.CallsOver)
+	}
 	for n, op := range t.Operations {
-		switch field := fmt.Sprintf("settings.classes[%d]", n); {
+		field := fmt.Sprintf("classes[%d]", n)
+		switch {
 		case s.Operations[n] == "" || !plain(s.Operations[n]):
-			return fmt.Errorf("%s.name: %q is not a word", field, s.Operations[n])
+			return unsound(field+".name", "%q is not a word", s.Operations[n])
 		case slices.Index(s.Operations, s.Operations[n]) != n:
-			return fmt.Errorf("%s.name: %q stands twice", field, s.Operations[n])
+			return unsound(field+".name", "%q stands twice", s.Operations[n])
 		case op.Objective <= 0:
-			return fmt.Errorf("%s.aim_ms: not above 0", field)
+			return unsound(field+".aim_ms", "not above 0")
 		case op.ClientTimeout <= 0:
-			return fmt.Errorf("%s.deadline_ms: not above 0", field)
-		case s.words.repeats[n] != "idempotent" && s.words.repeats[n] != "at_most_once":
-			return fmt.Errorf("%s.repeat: %q has no field in the frames", field, s.words.repeats[n])
+			return unsound(field+".deadline_ms", "not above 0")
+		case !has(repeats, words.repeats[n]):
+			return unsound(field+".repeat", "%q is none of idempotent, deduplicated and at_most_once", words.repeats[n])
+		case op.Repeat == admit.Tokened && op.Window <= 0:
+			return unsound(field+".window_ms", "not above 0, and repeats are to be known")
+		case op.Repeat == admit.Tokened && !(t.KeyKB > 0):
+			return unsound("family_info.key_kb", "not above 0, and %s keeps keys", s.Operations[n])
+		case !(op.Value >= 0) || math.IsInf(op.Value, 0):
+			return unsound(field+".worth", "%v", op.Value)
+		case !(op.LateValue >= 0 && op.LateValue <= 1):
+			return unsound(field+".late_value", "%v is no part", op.LateValue)
+		case !(op.SkippedValue >= 0 && op.SkippedValue <= 1):
+			return unsound(fmt.Sprintf("family_info.degraded_worth[%d]", n), "%v is no part", op.SkippedValue)
+		case op.Calls && words.below == "off":
+			return unsound(fmt.Sprintf("family_info.class_calls[%d]", n), "true, and nothing lies below")
 		}
 	}
 	for n, name := range s.Tenants {
 		if name == "" || slices.Index(s.Tenants, name) != n {
-			return fmt.Errorf("settings.projects[%d].name: %q is empty or stands twice", n, name)
+			return unsound(fmt.Sprintf("projects[%d].name", n), "%q is empty or stands twice", name)
 		}
 	}
 	return nil
 }
+
+func has[V any](words map[string]V, word string) bool { _, known := words[word]; return known }
--- a/terms/terms.go
+++ b/terms/terms.go
@@ -22,6 +22,7 @@
 type words struct {
 	repeats                []string
 	below, preemption, say string
+	worthBy                string
 }
 
 // object is the part of the settings that a Sheet is made of.
@@ -119,7 +120,7 @@
 	if o.Limits.RetryAfter {
 		t.MaxRetryAfter = Micros(o.Limits.MaxRetryAfterMs)
 	}
-	*s = Sheet{Gauges: f.Gauges, words: words{below: f.Below, preemption: f.Preemption, say: f.Say}}
+	*s = Sheet{Gauges: f.Gauges, words: words{below: f.Below, preemption: f.Preemption, say: f.Say, worthBy: o.WorthBy}}
 	for _, p := range o.Projects {
 		t.QuotaPerSecond = append(t.QuotaPerSecond, p.QuotaPerS)
 		s.Tenants = append(s.Tenants, p.Name)
--- /dev/null
+++ b/watch/watch.go
@@ -0,0 +1,254 @@
+// Package watch counts where other settings would have decided otherwise: a second instance of the module is
+// told all that happens to the first and what the first decided. It does no I/O, has no clock, owns the second
+// instance and its counts, and hands on nothing that it decides.
+package watch
+
+import (
+	"fmt"
+	"slices"
+
+	"milletbarrow/admit"
+)
+
+// Kind is a way in which a decision differs.
+type Kind int
+
+// The kinds. Each is counted once an invocation and event, but Health, Connections and Value, once a change.
+const (
+	LetIn       Kind = iota // taken, where it was throttled or errored on arrival
+	TurnedAway              // throttled or errored on arrival, where it was taken
+	Words                   // throttled by both, but with the other word on trying elsewhere
+	Advice                  // with advice to stay away that differs by more than half
+	Order                   // another invocation started first
+	GivenUp                 // given up later on, where it was kept
+	KeptOn                  // kept on, where it was given up later on
+	Paused                  // taken off the cores, where it went on
+	Repeated                // answered as a repeat from a kept key, where it was new work, or the other way
+	Health                  // health checks answered otherwise
+	Connections             // connections rest for another time
+	Value                   // the free value is sent, where it was not
+	kinds
+)
+
+var names = [kinds]string{
+	"let_in", "turned_away", "words", "advice", "order", "given_up", "kept_on", "paused", "repeated", "health",
+	"connections", "value",
+}
+
+func (k Kind) String() string { return names[k] }
+
+// Counts are what has passed.
+type Counts struct {
+	By       [kinds]int
+	Arrivals int // invocations that both were told of
+	Faults   int // panics of the second instance; after the first it decides nothing more
+}
+
+// Map has the counts that are not 0 by name, with arrivals and faults.
+func (c Counts) Map() map[string]int {
+	m := map[string]int{"arrivals": c.Arrivals, "faults": c.Faults}
+	for k, n := range c.By {
+		if n > 0 {
+			m[Kind(k).String()] = n
+		}
+	}
+	return m
+}
+
+// Watcher is the second instance. It is for one goroutine at a time.
+type Watcher struct {
+	shadow *admit.Backend
+	acts   []admit.Action
+	hand   map[string]bool // what the first has in hand and not answered: the second has not either; bounded as the first is
+	counts Counts
+	good   [2]bool         // health as last sent by the first and the second
+	idle   [2]admit.Micros // connections as well
+	token  int64           // of the second's timer
+}
+
+// New begins with the settings to be watched; now is the first instance's opening or, where it has been open for
+// long, any later time: what it had in hand before is not compared.
+func New(t admit.Terms, seed uint64, now admit.Micros) *Watcher {
+	t.Follows = true
+	w := &Watcher{shadow: admit.New(t, seed), hand: map[string]bool{}, good: [2]bool{true, true}}
+	w.idle = [2]admit.Micros{t.IdleFor, t.IdleFor}
+	w.decide(now, admit.Opened{})
+	return w
+}
+
+// Counts tells what has passed.
+func (w *Watcher) Counts() Counts { return w.counts }
+
+// Saw tells of an event and of what the first instance decided at it.
+func (w *Watcher) Saw(now admit.Micros, ev admit.Event, real []admit.Action) {
+	if _, opens := ev.(admit.Opened); opens || w.counts.Faults > 0 {
+		return
+	}
+	defer func() {
+		if r := recover(); r != nil {
+			w.counts.Faults++
+			w.hand, w.shadow = nil, nil
+		}
+	}()
+	id := ""
+	switch e := ev.(type) {
+	case admit.Arrived:
+		id = e.ID
+		w.hand[id] = true
+		w.counts.Arrivals++
+	case admit.Reading:
+		e.Token = w.token
+		ev = e
+	}
+	w.decide(now, ev)
+	theirs := w.acts
+	w.compare(id, real, theirs)
+	// What really happened: what was started runs for the second instance too, and whoever has its final answer
+	// is over for both.
+	for _, act := range real {
+		if a, starts := act.(admit.Start); starts {
+			w.decide(now, admit.Launched{ID: a.ID})
+		}
+		if id, final := answered(act); final {
+			if w.hand[id] {
+				w.decide(now, admit.CallerGone{ID: id})
+			}
+			delete(w.hand, id)
+		}
+	}
+	switch e := ev.(type) {
+	case admit.Finished:
+		delete(w.hand, e.ID)
+	case admit.CallerGone:
+		delete(w.hand, e.ID)
+	}
+}
+
+func (w *Watcher) decide(now admit.Micros, ev admit.Event) {
+	w.acts = w.shadow.Decide(now, ev, w.acts[:0])
+	for _, act := range w.acts {
+		if a, ok := act.(admit.Wake); ok {
+			w.token = a.Token
+		}
+	}
+}
+
+// compare counts by kind; arrived is the invocation that has just come, if one has.
+func (w *Watcher) compare(arrived string, real, shadow []admit.Action) {
+	count := func(k Kind) { w.counts.By[k]++ }
+	if a, b := first(real), first(shadow); a != "" && b != "" && a != b {
+		count(Order)
+	}
+	for _, act := range real {
+		switch a := act.(type) {
+		case admit.SetHealth:
+			w.good[0] = a.Good
+		case admit.CloseIdle:
+			w.idle[0] = a.After
+		case admit.Reuse:
+			if !slices.Contains(shadow, act) {
+				count(Repeated)
+			}
+		}
+		id, final := answered(act)
+		if !final || !w.hand[id] || slices.ContainsFunc(shadow, func(s admit.Action) bool {
+			other, final := answered(s)
+			return final && other == id
+		}) {
+			continue
+		}
+		if id == arrived {
+			count(LetIn)
+		} else {
+			count(KeptOn)
+		}
+	}
+	for _, act := range shadow {
+		switch a := act.(type) {
+		case admit.SetHealth:
+			w.good[1] = a.Good
+		case admit.CloseIdle:
+			w.idle[1] = a.After
+		case admit.Stop:
+			if !slices.Contains(real, act) {
+				count(Paused)
+			}
+		case admit.Reuse:
+			if !slices.Contains(real, act) {
+				count(Repeated)
+			}
+		case admit.Advertise:
+			if !slices.ContainsFunc(real, func(r admit.Action) bool { _, sent := r.(admit.Advertise); return sent }) {
+				count(Value)
+			}
+		}
+		id, final := answered(act)
+		if !final || !w.hand[id] {
+			continue
+		}
+		w.hand[id] = false
+		at := slices.IndexFunc(real, func(r admit.Action) bool { other, final := answered(r); return final && other == id })
+		switch {
+		case at >= 0:
+			a, both := real[at].(admit.Throttle)
+			b, too := act.(admit.Throttle)
+			if both && too && a.DontRetry != b.DontRetry {
+				count(Words)
+			} else if both && too && (a.RetryIn > b.RetryIn*3/2 || b.RetryIn > a.RetryIn*3/2) {
+				count(Advice)
+			}
+		case id == arrived:
+			count(TurnedAway)
+		default:
+			count(GivenUp)
+		}
+	}
+	w.sides()
+}
+
+// sides counts what is no invocation's, once until both agree again.
+func (w *Watcher) sides() {
+	if w.good[0] != w.good[1] {
+		w.counts.By[Health]++
+		w.good[1] = w.good[0]
+	}
+	if w.idle[0] != w.idle[1] {
+		w.counts.By[Connections]++
+		w.idle[1] = w.idle[0]
+	}
+}
+
+// first is the invocation that is started first.
+func first(acts []admit.Action) string {
+	for _, act := range acts {
+		if a, ok := act.(admit.Start); ok {
+			return a.ID
+		}
+	}
+	return ""
+}
+
+// answered tells whose final answer an action is.
+func answered(act admit.Action) (id string, final bool) {
+	switch a := act.(type) {
+	case admit.Throttle:
+		return a.ID, true
+	case admit.Fail:
+		return a.ID, true
+	}
+	return "", false
+}
+
+// String is the counts in a fixed order, for logs.
+func (c Counts) String() string {
+	s := fmt.Sprintf("arrivals=%d", c.Arrivals)
+	for k, n := range c.By {
+		if n > 0 {
+			s += fmt.Sprintf(" %v=%d", Kind(k), n)
+		}
+	}
+	if c.Faults > 0 {
+		s += fmt.Sprintf(" faults=%d", c.Faults)
+	}
+	return s
+}
