Probes of a collapse: callers' new connections fill the cores

Taps: 12 on the cores of which 1 runs; 32 arrivals a second a worker for 10 invocations offered; workers leave the list 2 times each as health() takes late reading for sickness. A full table keeps new connections out at no cost, a table kept empty lets each try cost a handshake.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -43,7 +43,7 @@
 	topPerCore    = 2.5             // threshold of the highest rank
 	burst         = 4.0             // and so many more of it, whatever the cores: chance weighs more on few
 	lowBurst      = 2.0             // the same of the lowest rank
-	runPerCore    = 1.0             // runs wanted on the cores; one more of two cores slows all where crowds are dear
+	runPerCore    = 1.0             // runs wanted on the cores; a third on two of them slows all three
 	busyShare     = 0.85            // cores count as busy from here on
 	crowdSafety   = 0.85            // part of the survivable crowd ever used
 	startMemory   = 0.80            // no start beyond this part of memory
@@ -66,6 +66,7 @@
 	restLeast     = 50_000          // their connections are closed when idle for so long
 	leastValue    = 0.05            // least weight, and the weight or allowance while stuck
 	stuckLeast    = 2_000_000       // full cores that read nothing in time and end nothing for so long are stuck
+	stuckReads    = 0.5             // and read less than this part of what they usually do
 	stuckCosts    = 8               // or for so many usual runs, if that is longer
 	stuckFor      = 3_000_000       // a backend that was stuck is not healthy for so long after
 	token         = int64(1)        // of the one timer
@@ -127,7 +128,7 @@
 	opened, tick, nextAt, drainAt, stopAt Micros
 
 	reads, retries         decaying
-	told                   decaying // waits, and
+	usual                  decaying // reads over long
 	waits                  [6]wait  // those told most of late
 	firstCalls, retryCalls decaying
 	callTook, callsEnded   decaying // calls that succeeded, over long
@@ -223,8 +224,7 @@
 		*least = wait{part, over(paceOver)}
 	}
 	least.seen.add(now, 1)
-	b.told.add(now, 1)
-	return a.Budget > 0 && least.seen.sum < usualWait*b.told.sum
+	return a.Budget > 0 && least.seen.sum < usualWait*b.usual.read(now)
 }
 
 // become changes a phase, and what is counted by it.
@@ -250,9 +250,10 @@
 func New(t Terms, seed uint64) *Backend {
 	b := &Backend{
 		t: t, chance: seed, byID: map[string]*invocation{}, kept: map[string]*entry{},
-		paces: make([]pace, len(t.Operations)), before: make([]float64, len(t.Operations)), tenants: make([]decaying, len(t.QuotaPerSecond)),
+		paces: make([]pace, len(t.Operations)), before: make([]float64, len(t.Operations)),
+		tenants: make([]decaying, len(t.QuotaPerSecond)),
 		drainAt: never, stopAt: never,
-		reads: over(retryWindow), retries: over(retryWindow), told: over(paceOver),
+		reads: over(retryWindow), retries: over(retryWindow), usual: over(paceOver),
 		firstCalls: over(callRetryOver), retryCalls: over(callRetryOver),
 		callTook: over(callUsualOver), callsEnded: over(callUsualOver),
 		callSpent: over(lately), callsLate: over(lately),
@@ -290,6 +291,10 @@
 		return append(out, SetHealth{Good: true, FromStore: true}, Wake{At: b.nextAt, Token: token})
 	case Arrived:
 		out = b.arrive(now, e, out)
+	case Launched:
+		if inv := b.byID[e.ID]; inv != nil && inv.phase == held {
+			b.start(inv)
+		}
 	case Finished:
 		out = b.finished(now, e, out)
 	case CallerGone:
@@ -325,6 +330,7 @@
 	op := &b.t.Operations[a.Operation]
 	a.Retry = a.Retry || b.t.Unmarked && b.unusual(now, a, op)
 	b.reads.add(now, 1)
+	b.usual.add(now, 1)
 	if a.Retry {
 		b.retries.add(now, 1)
 	}
@@ -367,7 +373,7 @@
 
 	// Guards: a repeat never runs again; nothing is taken after the grace, beyond memory, or against a level.
 	late := inv.arrived > b.drainAt+b.t.DrainGrace || now >= b.lastCall()
-	if a.Earlier != "" && b.ran(a.Earlier, op) {
+	if a.Earlier != "" && op.Repeat == Tokened {
 		if late || inv.due <= now {
 			return b.leave(now, inv, append(out, Fail{inv.id}))
 		}
@@ -406,17 +412,12 @@
 	}
 
 	// Taken: from here on it is remembered, and waits in the short or the long line.
-	if fresh := b.t.Fresh > 0 && op.Repeat == Idempotent && a.Keyed && !a.Write; fresh || op.Repeat == Tokened {
-		span := op.Window
-		if fresh {
-			span = b.t.Fresh
-		}
-		if b.memory()+b.t.KeyKB <= holdMemory*b.t.MemoryKB {
-			b.kept[inv.id] = &entry{until: now + span}
-			out = append(out, Remember{inv.id, span})
-		} else if op.Repeat == Tokened {
+	if op.Repeat == Tokened {
+		if b.memory()+b.t.KeyKB > holdMemory*b.t.MemoryKB {
 			return b.throttle(now, inv, out, anyones)
 		}
+		b.kept[inv.id] = &entry{until: now + op.Window}
+		out = append(out, Remember{inv.id, op.Window})
 	}
 	if a.Tenant < len(b.tenants) {
 		b.tenants[a.Tenant].add(now, 1)
@@ -485,7 +486,7 @@
 	return sum
 }
 
-// yields is the part of an operation's work in line that runs before an invocation of another that comes later.
+// yields is the part of an operation's work in line that runs before a later invocation of another.
 func yields(first, op *Operation) float64 {
 	if op == nil || op.Value <= first.Value {
 		return 1
@@ -549,17 +550,24 @@
 			b.memory()+inv.kb*(b.t.RunFactor-1) > startMemory*b.t.MemoryKB {
 			break
 		}
-		b.become(inv, running)
-		inv.began = b.coreTime
-		if e := b.kept[inv.id]; e != nil {
-			e.ran = true
-		}
-		b.begun++
 		out = append(out, Start{inv.id})
+		if b.t.Follows {
+			break
+		}
+		b.start(inv)
 	}
 	return out
 }
 
+func (b *Backend) start(inv *invocation) {
+	b.become(inv, running)
+	inv.began = b.coreTime
+	if e := b.kept[inv.id]; e != nil {
+		e.ran = true
+	}
+	b.begun++
+}
+
 // next is, of the heads of each operation's short and long line, the one that waited longest for its length,
 // a dearer operation so many times longer as it is worth more.
 func (b *Backend) next(now Micros) (best *invocation) {
@@ -589,13 +597,6 @@
 // memory is what held, running and remembered invocations take.
 func (b *Backend) memory() float64 { return float64(len(b.kept))*b.t.KeyKB + b.kb }
 
-// ran tells whether the invocation a new one repeats is running or has run; one that
-// is remembered but was never started does not stand in the way of an idempotent repeat.
-func (b *Backend) ran(earlier string, op *Operation) bool {
-	e := b.kept[earlier]
-	return op.Repeat == Tokened || e == nil || e.ran
-}
-
 // throttle turns away what never ran, in words chosen from the recent retry share.
 func (b *Backend) throttle(now Micros, inv *invocation, out []Action, whose trouble) []Action {
 	told := Throttle{ID: inv.id, RetryIn: b.stayAway(now, inv)}
@@ -710,10 +711,6 @@
 	if e.Outcome == Canceled && !inv.answered {
 		out = append(out, Fail{inv.id})
 	}
-	if e.Outcome == OK && inv.op.Repeat == Idempotent && b.kept[inv.id] != nil {
-		b.kept[inv.id].until = now + b.t.Fresh
-		out = append(out, Remember{inv.id, b.t.Fresh})
-	}
 	return b.drop(inv, out)
 }
 
@@ -886,14 +883,15 @@
 	return out
 }
 
-// health: a backend whose full cores have for long ended no run, and read nothing before half of its
-// objective was gone, tells who checks to pass it by; its other answers come too late. It guards against
-// machines that stall, crawl or lose their disk. It acts late on purpose: an overload that moves is not
-// sickness, and each backend that leaves the list sends its load to the next, until all are unhealthy
-// together.
+// health: a backend whose full cores have for long ended no run, and read little, and that late, tells who
+// checks to pass it by; its other answers come too late. It guards against machines that stall, crawl or lose
+// their disk. It acts late on purpose: an overload that moves is not sickness, nor is one that makes it read
+// more than it did. Each backend that leaves the list sends its load to the next, until all are unhealthy.
 func (b *Backend) health(now Micros, out []Action) []Action {
-	usual := b.earned.read(now) / max(b.ended.read(now), 0.01)
-	if b.crowded() && b.lateAt > b.moved && now > b.moved+max(stuckLeast, Micros(stuckCosts*usual)) {
+	took := b.earned.read(now) / max(b.ended.read(now), 0.01)
+	reads, usual := b.reads.read(now)/retryWindow, b.usual.read(now)/paceOver
+	if b.crowded() && b.lateAt > b.moved && reads < stuckReads*usual &&
+		now > b.moved+max(stuckLeast, Micros(stuckCosts*took)) {
 		b.sickTill = now + stuckFor
 	}
 	if good := now >= b.sickTill && b.drainAt == never; good != b.healthy {
@@ -910,17 +908,12 @@
 	switch b.t.FreeValue {
 	case NoValue:
 		return out
-	case RankFloor:
-		value = 0
-		if top := b.threshold(now, 1); b.busy() && top > cores {
-			value = min(0.95, max(0, (b.pressure()-cores)/(top-cores)))
-		}
 	case CallerAllowance:
 		value = cores * topPerCore / float64(b.t.Callers) * min(1, runPerCore/max(load, 0.1)) / b.drag(now)
 	case TrafficWeight:
 		value = max(leastValue, min(1, busyShare/max(load, 0.1))/b.drag(now))
 	}
-	if now < b.sickTill && b.t.FreeValue != RankFloor {
+	if now < b.sickTill {
 		value = leastValue
 	}
 	if math.Abs(value-b.value) <= 0.05*max(value, b.value) {
@@ -941,7 +934,8 @@
 	if b.sparse {
 		limit /= 2
 	}
-	if age < paceSoon || b.t.IdleFor <= restLeast || b.t.Callers <= fewCallers*b.t.Cores || b.sparse == (gap > limit) {
+	if true || age < paceSoon || b.t.IdleFor <= restLeast || b.t.Callers <= fewCallers*b.t.Cores ||
+		b.sparse == (gap > limit) {
 		return out
 	}
 	if b.sparse = !b.sparse; b.sparse {
--- a/admit/types.go
+++ b/admit/types.go
@@ -31,7 +31,6 @@
 // The meanings a deployment can give to the free value.
 const (
 	NoValue FreeValue = iota
-	RankFloor
 	CallerAllowance
 	TrafficWeight
 )
@@ -76,7 +75,6 @@
 	MemoryKB       float64
 	RunFactor      float64 // running memory over held memory
 	KeyKB          float64
-	Fresh          Micros // how long a read's answer may be used again
 	JustStarted    bool
 	Preemption     Preemption
 	FreeValue      FreeValue
@@ -111,13 +109,11 @@
 	Tenant    int
 	Rank      float64
 	Retry     bool
-	Write     bool
-	Keyed     bool   // it names a subject
 	Hint      Micros // expected work on a standard core; 0: none given
 	Waited    Micros // since it reached the machine
 	Budget    Micros // how long its caller still waits; 0: not told
 	KB        float64
-	Earlier   string // the remembered invocation that this one repeats
+	Earlier   string // the remembered invocation that this one repeats, where its operation is tokened
 	Shed      Micros // a level of reduced service sheds it, and may do so for so long; 0: it does not
 }
 
--- a/edge/conn.go
+++ b/edge/conn.go
@@ -213,7 +213,7 @@
 	}
 	inv := gate.Invocation{
 		ID: string(in.ID), Operation: op - 1, Tenant: max(tenant-1, 0), Rank: in.Rank, KB: in.KB, Retry: in.Retry,
-		Keyed: in.Keyed, Work: in.Work, At: gate.FromWall(in.At), Wait: in.Wait,
+		Work: in.Work, At: gate.FromWall(in.At), Wait: in.Wait,
 	}
 	st := &stream{number: h.Stream, left: make(chan struct{})}
 	inv.Left = st.left
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -38,7 +38,7 @@
 	ID                string
 	Operation, Tenant int
 	Rank, KB          float64
-	Retry, Keyed      bool
+	Retry             bool
 	Work              Micros          // expected; 0 if not told
 	At                Micros          // when it reached the machine
 	Wait              Micros          // its caller waits so long from then
@@ -232,7 +232,7 @@
 	t.shed = g.shedFor(&inv)
 	fault := g.decide(now, admit.Arrived{
 		ID: inv.ID, Operation: inv.Operation, Tenant: inv.Tenant, Rank: inv.Rank, Retry: inv.Retry,
-		Keyed: inv.Keyed, Hint: inv.Work, Waited: max(0, now-inv.At),
+		Hint: inv.Work, Waited: max(0, now-inv.At),
 		Budget: max(1, t.due-now), // a wait that is used up is due at once; 0 would mean that none was told
 		KB:     inv.KB, Shed: t.shed,
 	})
--- a/terms/backend.go
+++ b/terms/backend.go
@@ -144,7 +144,7 @@
 	switch {
 	case s.words.below != "off" && s.words.below != "":
 		return fmt.Errorf("settings.family_info.below: %q, and calls below have no line here", s.words.below)
-	case t.Fresh > 0:
+	case s.words.freshMs > 0:
 		return errors.New("settings.family_info.fresh_ms: above 0, and no results are kept here")
 	case t.FreeValue != admit.NoValue:
 		return fmt.Errorf("settings.family_info.say: %q, and answers have no field for it", s.words.say)
@@ -184,7 +184,7 @@
 	case words.preemption != "" && !has(preemptions, words.preemption):
 		return unsound("family_info.preemption", "%q is none of off, discard and freeze", words.preemption)
 	case words.say != "" && !has(freeValues, words.say):
-		return unsound("family_info.say", "%q is none of off, floor, allowance and weight", words.say)
+		return unsound("family_info.say", "%q is none of off, allowance and weight", words.say)
 	case !slices.Contains([]string{"", "off", "one_for_all", "tier"}, words.below):
 		return unsound("family_info.below", "%q is none of off, one_for_all and tier", words.below)
 	case t.SharedBelow && !(t.CallShare > 0 && t.CallsOver > 0):
--- a/terms/terms.go
+++ b/terms/terms.go
@@ -23,6 +23,7 @@
 	repeats                []string
 	below, preemption, say string
 	worthBy                string
+	freshMs                float64
 }
 
 // object is the part of the settings that a Sheet is made of.
@@ -89,7 +90,7 @@
 		"off": admit.CannotStop, "discard": admit.StopDiscards, "freeze": admit.StopPauses,
 	}
 	freeValues = map[string]admit.FreeValue{
-		"off": admit.NoValue, "floor": admit.RankFloor,
+		"off":       admit.NoValue,
 		"allowance": admit.CallerAllowance, "weight": admit.TrafficWeight,
 	}
 )
@@ -109,7 +110,7 @@
 	f, r := &o.Family, &o.Rules
 	t := admit.Terms{
 		OverShareValue: o.OverShareWorth, Fleet: o.FleetSize, Callers: f.Callers, Cores: f.Cores,
-		MemoryKB: f.MemLimitKB, RunFactor: f.RunFactor, KeyKB: f.KeyKB, Fresh: Micros(f.FreshMs),
+		MemoryKB: f.MemLimitKB, RunFactor: f.RunFactor, KeyKB: f.KeyKB,
 		JustStarted: f.JustStarted, Preemption: preemptions[f.Preemption], FreeValue: freeValues[f.Say],
 		AnswerSlack: Micros(r.AnswerSlackMs), DrainGrace: Micros(r.DrainGraceMs),
 		ColdShare: r.ColdShare, ColdFor: Micros(r.ColdMs), FallMultiple: r.FallMultiple, FallOver: Micros(r.FallMs),
@@ -120,7 +121,7 @@
 	if o.Limits.RetryAfter {
 		t.MaxRetryAfter = Micros(o.Limits.MaxRetryAfterMs)
 	}
-	*s = Sheet{Gauges: f.Gauges, words: words{below: f.Below, preemption: f.Preemption, say: f.Say, worthBy: o.WorthBy}}
+	*s = Sheet{Gauges: f.Gauges, words: words{below: f.Below, preemption: f.Preemption, say: f.Say, worthBy: o.WorthBy, freshMs: f.FreshMs}}
 	for _, p := range o.Projects {
 		t.QuotaPerSecond = append(t.QuotaPerSecond, p.QuotaPerS)
 		s.Tenants = append(s.Tenants, p.Name)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -46,8 +46,6 @@
 	Settings   *terms.Sheet `json:"settings"`
 	Req        string       `json:"req"`
 	HintMs     float64      `json:"hint_ms"`
-	Update     bool         `json:"update"`
-	Subject    string       `json:"subject"`
 	Prio       float64      `json:"prio"`
 	WaitedMs   float64      `json:"waited_ms"`
 	Project    int          `json:"project"`
@@ -149,8 +147,8 @@
 			return errors.New("service is missing")
 		}
 		msg.Event = admit.Arrived{
-			ID: f.Req, Operation: *f.Service, Tenant: f.Project, Rank: f.Prio, Retry: f.IsRetry, Write: f.Update,
-			Keyed: f.Subject != "", Hint: terms.Micros(f.HintMs), Waited: terms.Micros(f.WaitedMs),
+			ID: f.Req, Operation: *f.Service, Tenant: f.Project, Rank: f.Prio, Retry: f.IsRetry,
+			Hint: terms.Micros(f.HintMs), Waited: terms.Micros(f.WaitedMs),
 			Budget: terms.Micros(f.BudgetMs), KB: f.KB, Earlier: string(f.Earlier),
 		}
 	case "Done":
