--- a/admit/admit.go
+++ b/admit/admit.go
@@ -63,6 +63,8 @@
 	restMost      = 8e6             // callers that come less often than this, in the mean, are sparse
 	paceSoon      = 1_000_000       // after so long the rate of arrivals is known well enough
 	fewCallers    = 16              // a core: any table has room for them all, and nothing is closed
+	stormReads    = 3.0             // a core, of what wants one to read or connect, from which tables may fill
+	stormFor      = 20_000_000      // and for so long after
 	restLeast     = 50_000          // their connections are closed when idle for so long
 	leastValue    = 0.05            // least weight, and the weight or allowance while stuck
 	stuckLeast    = 2_000_000       // full cores that read nothing in time and end nothing for so long are stuck
@@ -149,6 +151,7 @@
 	healthy          bool     // as last sent
 	value            float64  // the free value last sent
 	sparse           bool     // idle connections are closed early
+	stormTill        Micros   // they are not until then
 }
 
 // decaying is a sum that forgets with time constant over.
@@ -934,8 +937,11 @@
 	if b.sparse {
 		limit /= 2
 	}
-	if true || age < paceSoon || b.t.IdleFor <= restLeast || b.t.Callers <= fewCallers*b.t.Cores ||
-		b.sparse == (gap > limit) {
+	if b.readers > stormReads*float64(b.t.Cores) {
+		b.stormTill = now + stormFor
+	}
+	sparse := gap > limit && now >= b.stormTill
+	if age < paceSoon || b.t.IdleFor <= restLeast || b.t.Callers <= fewCallers*b.t.Cores || b.sparse == sparse {
 		return out
 	}
 	if b.sparse = !b.sparse; b.sparse {
