--- a/admit/admit.go
+++ b/admit/admit.go
@@ -64,7 +64,7 @@
 	paceSoon      = 1_000_000       // after so long the rate of arrivals is known well enough
 	fewCallers    = 16              // a core: any table has room for them all, and nothing is closed
 	stormReads    = 3.0             // a core, of what wants one to read or connect, from which tables may fill
-	stormFor      = 20_000_000      // and for so long after
+	stormFor      = 60_000_000      // and for so long after
 	restLeast     = 50_000          // their connections are closed when idle for so long
 	leastValue    = 0.05            // least weight, and the weight or allowance while stuck
 	stuckLeast    = 2_000_000       // full cores that read nothing in time and end nothing for so long are stuck
