The steps of the move, tried on the built program; the docs tell of what is watched

Need: operators switch only after watching. docs/migration.md has the steps in order, the figure that says go on or back at each, and the way back; TestMigration walks them on the built program over loopback.

--- a/cmd/milletbarrow/watch_test.go
+++ b/cmd/milletbarrow/watch_test.go
@@ -103,3 +103,89 @@
 		tr.Say("%s: %v, %s", edit[1], err, strings.TrimSpace(string(out)))
 	}
 }
+
+// TestMigration walks the steps of docs/migration.md and back, as an operator would.
+func TestMigration(t *testing.T) {
+	tr := standin.NewTrace(t)
+	shape := []string{
+		`"over_share_worth"`, `"clients":{"marks_retry":false},"worth_by":"request","over_share_worth"`,
+		`"name":"look","aim_ms":2000`, `"name":"look","worth":1,"aim_ms":1000`, `"name":"post"`, `"name":"post","worth":10`,
+	}
+	old := standin.Settings
+	other := strings.NewReplacer(shape...).Replace(old)
+	b := prepare(t)
+	base, err := os.ReadFile(b.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := func(settings, watch string) string {
+		text := strings.Replace(string(base), old, settings, 1)
+		if watch != "" {
+			text = strings.Replace(text, `"more":{}`, `"watch":`+watch, 1)
+		}
+		return text
+	}
+	put := func(text string) {
+		if err := os.WriteFile(b.config, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	check := func(what, text string) {
+		name := filepath.Join(t.TempDir(), "copy.json")
+		if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		out, err := exec.Command(program, "check", "--config", name).CombinedOutput()
+		tr.Say("%s: %v, %s", what, err, strings.TrimSpace(string(out)))
+	}
+	socket := filepath.Join(t.TempDir(), "s")
+	b.args = []string{"serve", "--inspect", socket}
+	number := 0
+	serve := func(what string) {
+		number++
+		n := standin.Dial(t, b.address)
+		defer n.Close()
+		n.Send(standin.Invocation(1, number))
+		l := standin.Take(t, "a launch", b.farm.Launches)
+		b.farm.End(l.ID, "complete", "done")
+		answer := n.Expect()
+		peer := inspect.NewPeer(socket, limit.ForControl())
+		defer peer.Close()
+		s, err := peer.State(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		tr.Say("%s: code %d, otherwise %v", what, answer.Code, s.Watched)
+	}
+	hangup := func(until string) {
+		b.cmd.Process.Signal(syscall.SIGHUP)
+		standin.Until(t, until, b.said(until))
+	}
+	restart := func(text string) {
+		put(text)
+		b.exit(tr, b.term())
+		b.mu.Lock()
+		b.log.Reset()
+		b.mu.Unlock()
+		b.start().ready()
+	}
+	b.start().ready()
+	serve("before")
+	check("1. the other settings, watched", file(old, other))
+	put(file(old, other))
+	hangup("event=watch on=true")
+	serve("2. watching")
+	put(file(old, ""))
+	hangup("event=watch on=false")
+	serve("2. back")
+	check("4. the other settings, with pausing", file(strings.Replace(other, `"preemption":"off"`, `"preemption":"freeze"`, 1), old))
+	check("4. the other settings", file(other, old))
+	restart(file(other, old))
+	serve("5. switched, the old settings watched")
+	restart(file(old, ""))
+	serve("5. back")
+	restart(file(other, old))
+	put(file(other, ""))
+	hangup("event=watch on=false")
+	serve("7. done")
+}
