--- a/admit/admit.go
+++ b/admit/admit.go
@@ -35,6 +35,7 @@
 	retryCut      = 0.10            // the source's retry budget
 	retryCutTop   = 0.50            // the same for the highest rank
 	usualWait     = 0.15            // a wait that so many arrivals tell is a first try's, where none is marked
+	unusualFound  = 0.5             // about the part of the later tries that shows by the wait
 	sameWait      = 0.01            // waits that differ by less, as a part of the client timeout, are the same
 	deafShare     = 0.5             // retry share from which throttles are taken to come back
 	deafCores     = 0.5             // part of the cores that reads, from which it matters
@@ -407,7 +408,7 @@
 
 	// The gate: the smoothed run queue against the threshold of this rank, on busy cores. Callers that come
 	// back do not lift it for a tenant's excess: that alone would fill the lines of a fleet that is full.
-	if b.hopeless(now, inv, b.ahead(now, op)-b.cost(now, inv)) {
+	if b.hopeless(now, inv, b.ahead(now, op.Value)-b.cost(now, inv)) {
 		return b.throttle(now, inv, out, b.whose(now, inv))
 	}
 	if b.busy() && !(b.deaf(now) && (len(b.tenants) == 0 || inv.rank >= shareRank)) &&
@@ -483,25 +484,18 @@
 	return inv.unit * inv.pace.ratio(now) * b.drag(now)
 }
 
-// ahead is the core time of all that is held, or of what of it runs before a new one of an operation.
-func (b *Backend) ahead(now Micros, op *Operation) float64 {
+// ahead is the core time of what is held and runs before one of this value that comes now: what is worth less
+// yields. Of a value of 0 it is all.
+func (b *Backend) ahead(now Micros, value float64) float64 {
 	sum := 0.0
 	for n := range b.paces {
 		if p := &b.paces[n]; len(p.line) > 0 {
-			sum += p.waits * p.ratio(now) * b.drag(now) * yields(&b.t.Operations[n], op)
+			sum += p.waits * p.ratio(now) * b.drag(now) * min(1, b.t.Operations[n].Value/value)
 		}
 	}
 	return sum
 }
 
-// yields is the part of an operation's work in line that runs before a later invocation of another.
-func yields(first, op *Operation) float64 {
-	if op == nil || op.Value <= first.Value {
-		return 1
-	}
-	return first.Value / op.Value
-}
-
 // hopeless: with what is held before it and what runs beside it, it ends after its objective.
 // It holds against any cause of slowness; it harms where costs are guessed far too high.
 func (b *Backend) hopeless(now Micros, inv *invocation, before float64) bool {
@@ -579,7 +573,7 @@
 // next is, of the heads of each operation's short and long line, the one that waited longest for its length,
 // a dearer operation so many times longer as it is worth more.
 func (b *Backend) next(now Micros) (best *invocation) {
-	mean, n, most := b.ahead(now, nil), b.count(held), 0.0
+	mean, n, most := b.ahead(now, 0), b.count(held), 0.0
 	for k := range b.paces {
 		p := &b.paces[k]
 		var had [2]bool
@@ -611,6 +605,9 @@
 	switch whose {
 	case anyones:
 		cut := retryCut + (retryCutTop-retryCut)*inv.rank
+		if b.t.Unmarked {
+			cut *= unusualFound
+		}
 		told.DontRetry = b.retries.read(now) > cut*b.reads.read(now)
 	case everyones: // this backend has room for other work
 		told.RetryIn, told.DontRetry = 0, true
@@ -874,7 +871,7 @@
 		if inv.phase == held && !due {
 			before := 0.0
 			for n := range b.before {
-				before += b.before[n] * yields(&b.t.Operations[n], inv.op)
+				before += b.before[n] * min(1, b.t.Operations[n].Value/inv.op.Value)
 			}
 			if !b.hopeless(now, inv, before) {
 				b.before[inv.of] += b.cost(now, inv)
