--- a/admit/admit.go
+++ b/admit/admit.go
@@ -38,6 +38,7 @@
 	unusualFound  = 0.5             // about the part of the later tries that shows by the wait
 	sameWait      = 0.01            // waits that differ by less, as a part of the client timeout, are the same
 	deafShare     = 0.5             // retry share from which throttles are taken to come back
+	readersOver   = 1_000_000       // time constant of what wants a core to read or connect
 	deafCores     = 0.5             // part of the cores that reads, from which it matters
 	smoothing     = 200_000         // time constant of the run queue
 	lowPerCore    = 1.0             // threshold of the lowest rank
@@ -851,7 +852,7 @@
 	sample := b.onCores + b.count(held)
 	b.queue += b.since // known at once; the rest of the difference is smoothed
 	b.queue += (sample - b.queue) * (1 - math.Exp(-span/smoothing))
-	b.readers += (max(0, b.onCores-b.count(running)) - b.readers) * (1 - math.Exp(-span/lately))
+	b.readers += (max(0, b.onCores-b.count(running)) - b.readers) * (1 - math.Exp(-span/readersOver))
 	b.since, b.begun = 0, 0
 
 	for id, e := range b.kept {
