--- a/admit/admit.go
+++ b/admit/admit.go
@@ -17,12 +17,11 @@
 // Mechanisms beside the design, six at most:
 //  1. hopeless: what cannot meet its latency objective is given up at once, on arrival, in line, at a
 //     call or, where it can be stopped, running; whose trouble it is words the throttle
-//  2. deaf: while reading what comes back fills the cores, the lines take what the gate would throttle
-//  3. next: a short and a long line each, by response ratio and billed value, run while the cores have room
-//  4. tenants: beyond its part of the quota an invocation ranks as what it is worth
-//  5. what callers hear: stayAway, how long the excess takes to drain; the free value and health answers
+//  2. next: a short and a long line each, by response ratio and billed value, run while the cores have room
+//  3. tenants: beyond its part of the quota an invocation ranks as what it is worth
+//  4. what callers hear: stayAway, how long the excess takes to drain; the free value and health answers
 //     say the same; connections: those of rare callers are closed early, but in a storm of new ones
-//  6. room: the slower calls below are, the fewer are in hand
+//  5. room: the slower calls below are, the fewer are in hand
 
 import (
 	"math"
@@ -37,9 +36,7 @@
 	usualWait     = 0.15            // a wait that so many arrivals tell is a first try's, where none is marked
 	unusualFound  = 0.5             // about the part of the later tries that shows by the wait
 	sameWait      = 0.01            // waits that differ by less, as a part of the client timeout, are the same
-	deafShare     = 0.5             // retry share from which throttles are taken to come back
 	readersOver   = 1_000_000       // time constant of what wants a core to read or connect
-	deafCores     = 0.5             // part of the cores that reads, from which it matters
 	smoothing     = 200_000         // time constant of the run queue
 	lowPerCore    = 1.0             // threshold of the lowest rank
 	topPerCore    = 2.5             // threshold of the highest rank
@@ -407,13 +404,11 @@
 		}
 	}
 
-	// The gate: the smoothed run queue against the threshold of this rank, on busy cores. Callers that come
-	// back do not lift it for a tenant's excess: that alone would fill the lines of a fleet that is full.
+	// The gate: the smoothed run queue against the threshold of this rank, on busy cores.
 	if b.hopeless(now, inv, b.ahead(now, op.Value)-b.cost(now, inv)) {
 		return b.throttle(now, inv, out, b.whose(now, inv))
 	}
-	if b.busy() && !(b.deaf(now) && (len(b.tenants) == 0 || inv.rank >= shareRank)) &&
-		b.pressure() > b.threshold(now, inv.rank) {
+	if b.busy() && b.pressure() > b.threshold(now, inv.rank) {
 		return b.throttle(now, inv, out, anyones)
 	}
 
@@ -451,13 +446,6 @@
 	return low + (top-low)*rank
 }
 
-// deaf: most of what is read comes back, whatever throttles say, and reading it fills the cores. Then a
-// throttle on arrival only buys another reading, so what could still end in time alone waits for its
-// chance in the lines.
-func (b *Backend) deaf(now Micros) bool {
-	return b.readers > deafCores*float64(b.t.Cores) && b.retries.read(now) > deafShare*b.reads.read(now)
-}
-
 // crowd is how many runs may be on the cores: a part of what is survived, less while cold.
 func (b *Backend) crowd(now Micros) float64 {
 	speed := 1.0
@@ -503,9 +491,6 @@
 	if !b.crowded() {
 		return b.callHopeless(now, inv)
 	}
-	if b.deaf(now) {
-		before = 0
-	}
 	cores := float64(b.t.Cores)
 	ends := b.callTime(now, inv.op) + before/cores + b.cost(now, inv)*max(1, (b.onCores+b.begun)/cores)
 	return now+Micros(ends) > min(inv.wantBy, b.lastCall())
