--- a/admit/admit.go
+++ b/admit/admit.go
@@ -16,7 +16,7 @@
 //
 // Mechanisms beside the design, six at most:
 //  1. hopeless: what cannot meet its latency objective is given up at once, on arrival, in line, at a
-//     call or, where it can be stopped, running; whose trouble it is words the throttle
+//     call or, where it can be stopped, running
 //  2. next: a short and a long line each, by response ratio and billed value, run while the cores have room
 //  3. tenants: beyond its part of the quota an invocation ranks as what it is worth
 //  4. what callers hear: stayAway, how long the excess takes to drain; the free value and health answers
@@ -384,7 +384,7 @@
 		return append(out, Reuse{a.ID})
 	}
 	if late || a.Shed > 0 || b.memory() > holdMemory*b.t.MemoryKB {
-		return b.throttle(now, inv, out, anyones)
+		return b.throttle(now, inv, out, false)
 	}
 
 	// Beyond its part of a tenant's quota, an invocation ranks as what it is worth. Where a
@@ -406,16 +406,16 @@
 
 	// The gate: the smoothed run queue against the threshold of this rank, on busy cores.
 	if b.hopeless(now, inv, b.ahead(now, op.Value)-b.cost(now, inv)) {
-		return b.throttle(now, inv, out, b.whose(now, inv))
+		return b.throttle(now, inv, out, b.callHopeless(now, inv))
 	}
 	if b.busy() && b.pressure() > b.threshold(now, inv.rank) {
-		return b.throttle(now, inv, out, anyones)
+		return b.throttle(now, inv, out, false)
 	}
 
 	// Taken: from here on it is remembered, and waits in the short or the long line.
 	if op.Repeat == Tokened {
 		if b.memory()+b.t.KeyKB > holdMemory*b.t.MemoryKB {
-			return b.throttle(now, inv, out, anyones)
+			return b.throttle(now, inv, out, false)
 		}
 		b.kept[inv.id] = &entry{until: now + op.Window}
 		out = append(out, Remember{inv.id, op.Window})
@@ -503,29 +503,6 @@
 	return b.callTime(now, inv.op) > left-min(b.cost(now, inv), left/2)
 }
 
-// trouble is whose it is when an invocation is throttled.
-type trouble int
-
-const (
-	anyones   trouble = iota // the recent retry share tells
-	ours                     // this backend's alone: others may do better
-	everyones                // of what all backends call
-)
-
-// whose: what would end in time at the usual pace is this backend's own trouble; the recent
-// retries say nothing of that, so its throttle invites a try elsewhere whatever their share.
-// What waits too long below is everyone's.
-func (b *Backend) whose(now Micros, inv *invocation) trouble {
-	left := float64(inv.wantBy - now)
-	switch {
-	case b.callHopeless(now, inv):
-		return everyones
-	case b.cost(now, inv) > left && b.cost(now, inv)/b.drag(now) <= left:
-		return ours
-	}
-	return anyones
-}
-
 // lastCall is when everything must be answered before the process is stopped.
 func (b *Backend) lastCall() Micros { return b.stopAt - 3*b.tick }
 
@@ -585,21 +562,19 @@
 // memory is what held, running and remembered invocations take.
 func (b *Backend) memory() float64 { return float64(len(b.kept))*b.t.KeyKB + b.kb }
 
-// throttle turns away what never ran, in words chosen from the recent retry share.
-func (b *Backend) throttle(now Micros, inv *invocation, out []Action, whose trouble) []Action {
-	told := Throttle{ID: inv.id, RetryIn: b.stayAway(now, inv)}
-	switch whose {
-	case anyones:
-		cut := retryCut + (retryCutTop-retryCut)*inv.rank
-		if b.t.Unmarked {
-			cut *= unusualFound
-		}
-		told.DontRetry = b.retries.read(now) > cut*b.reads.read(now)
-	case everyones: // this backend has room for other work
+// throttle turns away what never ran, in words chosen from the recent retry share. What waits too long below
+// is everyone's trouble: no try elsewhere, and this backend has room for other work.
+func (b *Backend) throttle(now Micros, inv *invocation, out []Action, below bool) []Action {
+	cut := retryCut + (retryCutTop-retryCut)*inv.rank
+	if b.t.Unmarked {
+		cut *= unusualFound
+	}
+	marked := b.retries.read(now) > cut*b.reads.read(now)
+	told := Throttle{ID: inv.id, RetryIn: b.stayAway(now, inv), DontRetry: marked}
+	if below {
 		told.RetryIn, told.DontRetry = 0, true
 	}
-	out = append(out, told)
-	return b.drop(inv, out)
+	return b.drop(inv, append(out, told))
 }
 
 // stayAway is the time in which the excess over this rank's threshold drains, or as long as
@@ -868,7 +843,7 @@
 		case inv.answered:
 			out = b.stop(now, inv, out)
 		case inv.phase == held:
-			out = b.throttle(now, inv, out, b.whose(now, inv))
+			out = b.throttle(now, inv, out, b.callHopeless(now, inv))
 		case due:
 			out = b.leave(now, inv, append(out, Fail{inv.id}))
 		case inv.phase == atCall && now > inv.wantBy:
