--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -206,3 +206,34 @@
 		p.tick(1)
 	})
 }
+
+// BenchmarkSaw is what watching adds to an event, with some ten in hand.
+func BenchmarkSaw(b *testing.B) {
+	settings := terms(func(*admit.Terms) {})
+	for _, watched := range []bool{false, true} {
+		b.Run(fmt.Sprint("watched=", watched), func(b *testing.B) {
+			real, w, now := admit.New(settings, 7), New(settings, 7, 0), admit.Micros(0)
+			real.Decide(0, admit.Opened{}, nil)
+			var acts []admit.Action
+			tell := func(ev admit.Event) {
+				if acts = real.Decide(now, ev, acts[:0]); watched {
+					w.Saw(now, ev, acts)
+				}
+			}
+			ids := make([]string, 16)
+			for n := range ids {
+				ids[n] = fmt.Sprint("i", n)
+			}
+			b.ReportAllocs()
+			for n := 0; b.Loop(); n++ {
+				now += 10_000
+				if id := ids[n%len(ids)]; n%len(ids) < 10 {
+					tell(admit.Finished{ID: id, Outcome: admit.OK, Took: 1})
+					tell(admit.Arrived{ID: id, KB: 30, Hint: 20_000, Budget: 4_000_000, Rank: 0.5})
+				} else {
+					tell(admit.Reading{Token: 1, CoreUse: 0.7, OnCores: 2})
+				}
+			}
+		})
+	}
+}
