--- a/cmd/milletbarrow/main_test.go
+++ b/cmd/milletbarrow/main_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -430,6 +431,34 @@
 	})
 }
 
+// read tells whether the program has read and handled all that was sent to it: the system holds nothing on the way
+// to it, and its one poller has answered a check that came later.
+func (b *backend) read() bool {
+	table, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	_, port, _ := net.SplitHostPort(b.address)
+	n, err := strconv.Atoi(port)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	ours := fmt.Sprintf(":%04X", n)
+	for _, line := range strings.Split(string(table), "\n") {
+		f := strings.Fields(line) // number, own address, peer's, state, bytes to send and to be read
+		if len(f) < 5 {
+			continue
+		}
+		sending, reading, _ := strings.Cut(f[4], ":")
+		if strings.HasSuffix(f[1], ours) && strings.Trim(reading, "0") != "" && f[3] == "01" ||
+			strings.HasSuffix(f[2], ours) && strings.Trim(sending, "0") != "" {
+			return false
+		}
+	}
+	b.ready()
+	return true
+}
+
 // TestPressure: as many invocations as the process holds, with the largest bodies and results, and callers that
 // read nothing until the end. What it cannot hold is throttled, nothing is dropped, and nothing is left over.
 func TestPressure(t *testing.T) {
@@ -449,6 +478,8 @@
 	for ; held < 3072; held++ {
 		standin.Take(t, "a launch", b.farm.Launches)
 	}
+	// Places that come free must not go to what is still on its way.
+	standin.Until(t, "all that was sent has been read", func() bool { return b.read() })
 	for number := range 110 * 32 {
 		b.farm.End(fmt.Sprintf("%016x", number), "complete", strings.Repeat("r", 4096))
 	}
