Six cores get a seventh run again: whole runs up to 1.2 a core, two on two as before

Lines at fault: fill() at runPerCore 1.0. Why only on sockets: an end and the start that follows lie a round trip to the farm apart, in which a core without a run to spare idles. Change: the limit is the whole number below 1.2 a core: two on two cores (and one on one, four on four), as now, seven on six. The free value keeps its figure (lowPerCore). A test fails with 1.0 and with 1.5.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -42,7 +42,7 @@
 	topPerCore    = 2.5             // threshold of the highest rank
 	burst         = 4.0             // and so many more of it, whatever the cores: chance weighs more on few
 	lowBurst      = 2.0             // the same of the lowest rank
-	runPerCore    = 1.0             // runs wanted on the cores; a third on two of them slows all three
+	runPerCore    = 1.2             // whole runs wanted: a third on two slows all, a seventh on six spans a gap
 	busyShare     = 0.85            // cores count as busy from here on
 	crowdSafety   = 0.85            // part of the survivable crowd ever used
 	startMemory   = 0.80            // no start beyond this part of memory
@@ -508,7 +508,7 @@
 
 // fill starts what waits, while the cores, the crowd and the memory have room.
 func (b *Backend) fill(now Micros, out []Action) []Action {
-	for b.onCores+b.begun < runPerCore*float64(b.t.Cores) {
+	for b.onCores+b.begun < math.Floor(runPerCore*float64(b.t.Cores)) {
 		inv := b.next(now)
 		on := b.count(running) + b.count(atCall) + b.count(calling)
 		if inv == nil || on+1 > b.crowd(now) ||
@@ -881,7 +881,7 @@
 	case NoValue:
 		return out
 	case CallerAllowance:
-		value = cores * topPerCore / float64(b.t.Callers) * min(1, runPerCore/max(load, 0.1)) / b.drag(now)
+		value = cores * topPerCore / float64(b.t.Callers) * min(1, lowPerCore/max(load, 0.1)) / b.drag(now)
 	case TrafficWeight:
 		value = max(leastValue, min(1, busyShare/max(load, 0.1))/b.drag(now))
 	}
--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -465,6 +465,24 @@
 }
 
 // A run that leaves the cores for a call makes room at once, not at the next reading.
+// A third run on two cores slows all three; on six cores a seventh has the core between an end and what follows it.
+func TestRunsWantedOnFewCoresAndMany(t *testing.T) {
+	for cores, want := range map[int]float64{1: 1, 2: 2, 4: 4, 6: 7} {
+		tr := newTrace(t, func(terms *Terms) { terms.Cores = cores })
+		for n := range 12 {
+			tr.arrive(fmt.Sprint("a", n), 0, 0.9)
+		}
+		tr.pass(40, 1, want)
+		if got := tr.b.count(running); got != want {
+			t.Errorf("%v runs on %d cores, want %v", got, cores, want)
+		}
+		tr.done("a0", OK)
+		if got := tr.b.count(running); got != want {
+			t.Errorf("%v runs on %d cores after an end, want %v", got, cores, want)
+		}
+	}
+}
+
 func TestACallFreesItsCore(t *testing.T) {
 	tr := newTrace(t, nil)
 	for n := range 3 {
