The test of a call that frees its core has its comment back

Cause: the test of runs wanted was inserted between TestACallFreesItsCore and its comment. Change: the comment stands over its test again; no line of code differs.

--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -464,7 +464,6 @@
 	}
 }
 
-// A run that leaves the cores for a call makes room at once, not at the next reading.
 // A third run on two cores slows all three; on six cores a seventh has the core between an end and what follows it.
 func TestRunsWantedOnFewCoresAndMany(t *testing.T) {
 	for cores, want := range map[int]float64{1: 1, 2: 2, 4: 4, 6: 7} {
@@ -483,6 +482,7 @@
 	}
 }
 
+// A run that leaves the cores for a call makes room at once, not at the next reading.
 func TestACallFreesItsCore(t *testing.T) {
 	tr := newTrace(t, nil)
 	for n := range 3 {
