--- a/admit/admit.go
+++ b/admit/admit.go
@@ -397,7 +397,11 @@
 		quota := b.t.QuotaPerSecond[a.Tenant]
 		even := quota / float64(b.t.Fleet) * lately / 1e6
 		even += tenantSlack * math.Sqrt(even) // of one invocation a second two may come, of ten hardly twenty
-		if b.tenants[a.Tenant].read(now) >= max(even, total*quota/quotas) {
+		over := b.tenants[a.Tenant].read(now) >= max(even, total*quota/quotas)
+		if a.Share != NotTold { // the fleet's division knows more than the fleet's size tells
+			over = a.Share == Beyond
+		}
+		if over {
 			inv.rank *= shareRank * b.t.OverShareValue
 		} else {
 			inv.rank = shareRank + (1-shareRank)*inv.rank
--- a/admit/types.go
+++ b/admit/types.go
@@ -115,8 +115,19 @@
 	KB        float64
 	Earlier   string // the remembered invocation that this one repeats, where its operation is tokened
 	Shed      Micros // a level of reduced service sheds it, and may do so for so long; 0: it does not
+	Share     Share  // how it stands to its tenant's share of the fleet's budget, where there is one
 }
 
+// Share is how an invocation stands to what its tenant may have of this backend.
+type Share int8
+
+// A share that is not told is guessed from the quota and the fleet's size.
+const (
+	NotTold Share = iota
+	Within
+	Beyond
+)
+
 // Launched: another has started what this instance holds; see Terms.Follows.
 type Launched struct{ ID string }
 
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -35,6 +35,7 @@
 	Seed   uint64 // of the jitter
 	Bounds limit.Control
 	Store  record.Store
+	Shares Shares // nil: nothing is shared with the agents of other hosts
 }
 
 // Agent is a running one.
@@ -156,6 +157,9 @@
 	defer watching.Wait()
 	defer close(a.done) // before the watchers are waited for
 	a.lookAtAll(ctx, &watching, a.m)
+	if a.o.Shares != nil {
+		watching.Go(func() { a.share(ctx) })
+	}
 	seen := a.m
 	beat := time.NewTimer(0)
 	defer beat.Stop()
@@ -241,7 +245,7 @@
 	steps := a.steps
 	a.steps = nil
 	for _, s := range steps {
-		if a.ill != nil && s.What == fleet.Launch && !s.Adopt {
+		if a.ill != nil && (s.What == fleet.Launch && !s.Adopt || s.What == fleet.TakeUnit) {
 			continue // it stays pending, and comes again
 		}
 		a.take(s)
@@ -362,7 +366,7 @@
 func commandOf(now fleet.Micros, o control.Order) *fleet.Command {
 	return &fleet.Command{
 		ID: o.ID, Kind: o.Kind, Names: o.Names, By: o.By, Asked: o.Asked, Due: now + fleet.Micros(o.Within),
-		Now: o.Now, Terms: o.Terms,
+		Now: o.Now, Terms: o.Terms, Budget: o.Budget,
 	}
 }
 
@@ -482,6 +486,9 @@
 		all := a.m.All()
 		m.Restore(now, all, false)
 		a.m, a.o.Spec = m, s
+		if a.o.Shares != nil && s.Budgets != nil {
+			a.o.Shares.Use(s.Budgets, s.Ledger)
+		}
 		a.note(fleet.Note{At: now, Event: "fleet's file read anew"})
 	})
 	return errors.Join(failed, err)
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -110,13 +110,13 @@
 			leave(0)
 		}
 	}()
-	go inspect.Serve(context.Background(), socket, limit.ForControl(), func() inspect.State {
+	go inspect.Serve(context.Background(), socket, limit.ForControl(), inspect.Instance{State: func() inspect.State {
 		s := inspect.State{Ready: !is("never"), PID: os.Getpid()}
 		if at := heard.Load(); at != 0 {
 			s.Ready, s.Draining, s.GraceEnds = false, true, at+grace.Microseconds()
 		}
 		return s
-	}, leave, func(inspect.Pin) error { return nil })
+	}, Leave: leave, Pin: func(inspect.Pin) error { return nil }})
 	for {
 		if at := heard.Load(); at != 0 {
 			if is("dies") {
--- /dev/null
+++ b/agent/shares.go
@@ -0,0 +1,269 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"milletbarrow/control"
+	"milletbarrow/fleet"
+	"milletbarrow/inspect"
+	"milletbarrow/keeper"
+	"milletbarrow/manage/budget"
+	"milletbarrow/manage/member"
+	"milletbarrow/proc"
+	"milletbarrow/serve/share"
+)
+
+// Shares are what the agents of a fleet keep together; manage/join makes one.
+type Shares interface {
+	Do(context.Context, budget.Command) (budget.Result, error)
+	View(context.Context) (budget.View, error)
+	Use(*budget.Terms, []string)
+	Stage() string
+	Members() []member.Seen
+	Notes() <-chan budget.Note // what is to stand in the history
+}
+
+// sharePause is between two renewals: a part of the shortest lease, so that one or two that are lost cost nothing.
+func sharePause(t *budget.Terms) time.Duration {
+	lease := budget.Micros(4_000_000)
+	for _, b := range t.Budgets {
+		if b.Kind == budget.Rate {
+			lease = min(lease, b.Lease)
+		}
+	}
+	return time.Duration(lease/4) * time.Microsecond
+}
+
+// share renews what this host's instances hold, until ctx ends.
+func (a *Agent) share(ctx context.Context) {
+	peers := map[string]*inspect.Peer{}
+	defer func() {
+		for _, p := range peers {
+			p.Close()
+		}
+	}()
+	lastNo := ""
+	gone := map[string]bool{}
+	for {
+		var names []string
+		var terms *budget.Terms
+		if a.ask(func(fleet.Micros) {
+			terms = a.o.Spec.Budgets
+			for _, name := range a.m.Names() {
+				if in, _ := a.m.Instance(name); in.Run != "" {
+					names = append(names, name)
+				}
+			}
+		}) != nil || terms == nil {
+			names, terms = nil, &budget.Terms{}
+		}
+		pause := sharePause(terms)
+		round, cancel := context.WithTimeout(ctx, 2*pause)
+		why := a.renew(round, names, peers, gone)
+		cancel()
+		if why != lastNo {
+			slog.Info("shares", "renewed", why == "", "why", why)
+			lastNo = why
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return
+		}
+		a.tell()
+	}
+}
+
+// renew asks the ledger once for all that draw here, and hands the answers on.
+func (a *Agent) renew(ctx context.Context, names []string, peers map[string]*inspect.Peer, gone map[string]bool) (why string) {
+	asks := make([]share.Ask, len(names))
+	each := func(do func(i int, p *inspect.Peer)) {
+		var all sync.WaitGroup
+		room := make(chan struct{}, a.o.Bounds.FanOut)
+		for i, name := range names {
+			p := peers[name]
+			if p == nil {
+				p = inspect.NewPeer(keeper.PathsOf(a.o.Dir, name).Inspect, a.o.Bounds)
+				peers[name] = p
+			}
+			all.Go(func() {
+				room <- struct{}{}
+				do(i, p)
+				<-room
+			})
+		}
+		all.Wait()
+	}
+	short := a.o.Bounds.Call / 8 // one that is stopped must not hold up the others
+	each(func(i int, p *inspect.Peer) {
+		call, cancel := context.WithTimeout(ctx, short)
+		defer cancel()
+		if q, err := p.Ask(call); err == nil && q.Name == names[i] {
+			asks[i] = q
+		}
+	})
+	c := &budget.Renew{Host: a.o.Host}
+	for _, q := range asks {
+		if q.Number > 0 {
+			c.Asks = append(c.Asks, q)
+		}
+	}
+	res, err := a.o.Shares.Do(ctx, budget.Command{Renew: c})
+	if err != nil {
+		return err.Error()
+	}
+	var refused []string
+	each(func(i int, p *inspect.Peer) {
+		at := slices.IndexFunc(res.Answers, func(r share.Answer) bool { return r.Name == names[i] && r.Life == asks[i].Life })
+		if at < 0 || res.Answers[at].No != "" {
+			return
+		}
+		call, cancel := context.WithTimeout(ctx, short)
+		defer cancel()
+		p.Answer(call, res.Answers[at])
+	})
+	for _, r := range res.Answers {
+		if r.No != "" {
+			refused = append(refused, r.Name+": "+r.No)
+		}
+	}
+	a.unitsHeld(res.Out)
+	a.bury(ctx, res.Lives, gone)
+	return strings.Join(refused[:min(len(refused), 3)], "; ")
+}
+
+// bury tells the ledger which lives of this host have ended: their processes are looked for here.
+func (a *Agent) bury(ctx context.Context, lives []string, told map[string]bool) {
+	c := &budget.Gone{Host: a.o.Host}
+	for _, key := range lives {
+		if _, life, _ := strings.Cut(key, " "); !lifeAlive(life) && !told[key] {
+			c.Lives = append(c.Lives, key)
+		}
+	}
+	if len(c.Lives) == 0 {
+		return
+	}
+	if _, err := a.o.Shares.Do(ctx, budget.Command{Gone: c}); err == nil && len(told) < 10_000 {
+		for _, key := range c.Lives {
+			told[key] = true
+		}
+	}
+}
+
+// LifeOf names this process for the ledger: the run of the machine, the pid and when it started.
+func LifeOf(id proc.Identity) string { return fmt.Sprintf("%s/%s", proc.Boot(), id) }
+
+// lifeAlive tells whether a life goes on, on this machine. One that can't be read is taken to.
+func lifeAlive(life string) bool {
+	boot, name, ok := strings.Cut(life, "/")
+	var id proc.Identity
+	if n, err := fmt.Sscanf(name, "%d@%d", &id.PID, &id.Start); !ok || err != nil || n != 2 {
+		return true
+	}
+	return boot == proc.Boot() && id.Alive()
+}
+
+// unitsHeld brings what the ledger has this host hold into the loop.
+func (a *Agent) unitsHeld(out []budget.Out) {
+	var held []fleet.HeldUnit
+	for _, o := range out {
+		held = append(held, fleet.HeldUnit{Name: o.Name, Budget: o.Budget, Turn: o.Turn})
+	}
+	if len(held) > 0 {
+		a.bring(fleet.UnitsHeld{Held: held})
+	}
+}
+
+// bring hands an event to the loop, if it goes on.
+func (a *Agent) bring(ev fleet.Event) {
+	select {
+	case <-a.done:
+	case a.work <- func(now fleet.Micros) { a.decide(now, ev) }:
+	}
+}
+
+// unit takes a unit of a count, or gives it back. Without an answer nothing is known: the same turn is asked for again.
+func (a *Agent) unit(s fleet.Step) {
+	if a.o.Shares == nil {
+		a.bring(fleet.UnitTaken{HeldUnit: fleet.HeldUnit{Name: s.Name, Budget: s.Unit.Budget, Turn: s.ID}, Why: "this fleet's file has no budgets"})
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*a.o.Bounds.Call)
+	defer cancel()
+	turn := &budget.Take{Budget: s.Unit.Budget, Name: s.Name, Host: a.o.Host, Turn: s.ID}
+	if s.What == fleet.GiveUnit {
+		if _, err := a.o.Shares.Do(ctx, budget.Command{Give: turn}); err == nil {
+			a.bring(fleet.UnitGiven{Name: s.Name, Turn: s.ID})
+		}
+		return
+	}
+	if res, err := a.o.Shares.Do(ctx, budget.Command{Take: turn}); err == nil {
+		held := fleet.HeldUnit{Name: s.Name, Budget: s.Unit.Budget, Turn: s.ID}
+		a.bring(fleet.UnitTaken{HeldUnit: held, Held: res.No == "", Why: res.No})
+	}
+}
+
+// tell writes the ledger's notes into the history.
+func (a *Agent) tell() {
+	for {
+		select {
+		case n := <-a.o.Shares.Notes():
+			if a.ask(func(now fleet.Micros) {
+				a.note(fleet.Note{At: now, Name: n.Name, Event: strings.TrimSpace(n.Budget + " " + n.Event), Cause: n.Cause})
+			}) != nil {
+				return
+			}
+		default:
+			return
+		}
+	}
+}
+
+var errNothingShared = &control.Refusal{Status: http.StatusUnprocessableEntity, Text: "this fleet's file has no budgets"}
+
+// Budgets asks the leader how all stands.
+func (a *Agent) Budgets(ctx context.Context) (b control.Budgets, err error) {
+	if a.o.Shares == nil {
+		return b, errNothingShared
+	}
+	ctx, cancel := context.WithTimeout(ctx, a.o.Bounds.Call)
+	defer cancel()
+	b.Host, b.Stage = a.o.Host, a.o.Shares.Stage()
+	if b.View, err = a.o.Shares.View(ctx); err != nil {
+		err = &control.Refusal{Status: http.StatusServiceUnavailable, Text: err.Error()}
+	}
+	return b, err
+}
+
+// WriteOff tells the ledger that what a name has is in force no more.
+func (a *Agent) WriteOff(ctx context.Context, name, by string) error {
+	if a.o.Shares == nil {
+		return errNothingShared
+	}
+	ctx, cancel := context.WithTimeout(ctx, a.o.Bounds.Call)
+	defer cancel()
+	res, err := a.o.Shares.Do(ctx, budget.Command{Off: &budget.Off{Name: name, By: by}})
+	switch {
+	case err != nil:
+		return &control.Refusal{Status: http.StatusServiceUnavailable, Text: err.Error()}
+	case res.No != "":
+		return errors.New(res.No)
+	}
+	return nil
+}
+
+// Members are the agents that this one thinks are there.
+func (a *Agent) Members() []member.Seen {
+	if a.o.Shares == nil {
+		return nil
+	}
+	return a.o.Shares.Members()
+}
--- a/agent/watch.go
+++ b/agent/watch.go
@@ -145,6 +145,10 @@
 
 // take carries a step out, without keeping the loop.
 func (a *Agent) take(s fleet.Step) {
+	if s.What == fleet.TakeUnit || s.What == fleet.GiveUnit {
+		go a.unit(s)
+		return
+	}
 	if s.What == fleet.Launch {
 		if w := a.watchers[s.Name]; w != nil {
 			if run, _ := w.now(); run != s.Run {
@@ -221,6 +225,11 @@
 	if s.Adopt {
 		args = append(args, "--adopt")
 	}
+	if all.Budgets != nil {
+		for _, word := range all.Budgets.Drawn(s.Name) {
+			args = append(args, "--draw", word)
+		}
+	}
 	args = append(args, "--")
 	args = append(args, all.Program...)
 	logPath := paths.Log + ".keeper"
--- a/cmd/milletbarrow/agent.go
+++ b/cmd/milletbarrow/agent.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"path/filepath"
 	"runtime"
+	"sync"
 	"syscall"
 	"time"
 
@@ -18,6 +19,7 @@
 	"milletbarrow/control"
 	"milletbarrow/fleet"
 	"milletbarrow/limit"
+	"milletbarrow/manage/join"
 	"milletbarrow/proc"
 	"milletbarrow/record"
 )
@@ -53,6 +55,7 @@
 			&cli.StringFlag{Name: "host", Usage: "this host's `NAME` in the file", Required: true},
 			&cli.StringFlag{Name: "dir", Usage: "the agent's own `DIRECTORY`, on a disk that persists", Required: true},
 			&cli.BoolFlag{Name: "record-anew", Usage: "set a damaged record aside and adopt what runs"},
+			&cli.BoolFlag{Name: "trust-directory", Usage: "take part in the ledger without asking others: the directory is no older copy"},
 		},
 		Action: runAgent,
 	}
@@ -84,6 +87,7 @@
 		return err
 	}
 	runtime.GOMAXPROCS(2)
+	signal.Ignore(syscall.SIGXFSZ) // a file that may not grow is an error like a full disk, and no end
 	b := limit.ForControl()
 	store, err := record.Open(dir, b.History)
 	if errors.Is(err, record.ErrDamaged) && c.Bool("record-anew") {
@@ -97,13 +101,22 @@
 		return unusable(err)
 	}
 	defer store.Close()
+	var joined *join.Joined
+	var shares agent.Shares
+	if spec.Budgets != nil {
+		joined, err = join.Open(join.Options{Spec: spec, Host: host.Name, Dir: dir, Trust: c.Bool("trust-directory"), Bounds: b})
+		if err != nil {
+			return unusable(err)
+		}
+		shares = joined
+	}
 	l, err := control.Listen(host.Agent)
 	if err != nil {
 		return unusable(err)
 	}
 	a, err := agent.New(agent.Options{
 		Spec: spec, Host: host.Name, Dir: dir, Self: []string{self}, Build: version(), Seed: uint64(proc.Now()),
-		Bounds: b, Store: store,
+		Bounds: b, Store: store, Shares: shares,
 	})
 	if err != nil {
 		l.Close()
@@ -112,6 +125,16 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	slog.Info("agent", "fleet", spec.Name, "host", host.Name, "listen", host.Agent, "instances", len(spec.Of(host.Name)))
+	var sharing sync.WaitGroup
+	defer sharing.Wait()
+	defer cancel()
+	if joined != nil {
+		sharing.Go(func() {
+			if err := joined.Run(ctx); err != nil { // the instances are managed all the same
+				slog.Error("ledger", "stage", "ended", "error", err.Error())
+			}
+		})
+	}
 	broken := make(chan error, 1)
 	go func() { broken <- control.Serve(ctx, l, a, b) }()
 	go func() {
@@ -120,6 +143,9 @@
 			if err == nil {
 				err = a.Reload(later)
 			}
+			if err == nil && joined != nil {
+				joined.Move(later)
+			}
 			slog.Info("reload", "used", err == nil, "error", fmt.Sprint(err))
 		}
 	}()
--- a/cmd/milletbarrow/fleet.go
+++ b/cmd/milletbarrow/fleet.go
@@ -26,7 +26,8 @@
 		Commands: []*cli.Command{
 			fleetCheckCommand(), orderCommand(fleet.Start), orderCommand(fleet.Drain), orderCommand(fleet.Stop),
 			orderCommand(fleet.Restart), waveCommand(), steerCommand("pause"), steerCommand("resume"),
-			steerCommand("cancel"), fleetStatusCommand(), fleetWatchCommand(), fleetHistoryCommand(),
+			steerCommand("cancel"), fleetStatusCommand(), fleetWatchCommand(), fleetHistoryCommand(), fleetBudgetsCommand(),
+			fleetMembersCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/cmd/milletbarrow/fleet_budgets.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"milletbarrow/control"
+	"milletbarrow/manage/budget"
+)
+
+func fleetBudgetsCommand() *cli.Command {
+	return &cli.Command{
+		Name: "budgets", Usage: "show who holds how much of the fleet's budgets, or write a lost holder off",
+		Description: "Any agent hands the question on to the one that leads the ledger. Examples:\n   milletbarrow fleet budgets --fleet fleet.sx\n" +
+			"   milletbarrow fleet budgets --fleet fleet.sx --write-off n3     (its host is lost for good, its process runs no more)",
+		Flags: []cli.Flag{fleetFlag(), jsonFlag(), &cli.StringFlag{
+			Name: "write-off", Usage: "what this `NAME` holds is in force no more: you have made sure of it",
+		}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			t, err := tool(c)
+			if err != nil {
+				return err
+			}
+			if t.Spec.Budgets == nil {
+				return unusable(fmt.Errorf("%s: has no budgets", c.String("fleet")))
+			}
+			if name := c.String("write-off"); name != "" {
+				if err := t.WriteOff(ctx, name); err != nil {
+					return budgetsFailed(err)
+				}
+				fmt.Printf("%s holds nothing any more\n", name)
+				return nil
+			}
+			b, err := t.Budgets(ctx)
+			if err != nil {
+				return budgetsFailed(err)
+			}
+			if c.Bool("json") {
+				return printJSON(b)
+			}
+			printBudgets(&b)
+			return nil
+		},
+	}
+}
+
+func budgetsFailed(err error) error {
+	if r, ok := errors.AsType[*control.Refusal](err); ok && r.Status/100 == 4 {
+		return unusable(err)
+	}
+	return cli.Exit(err.Error(), exitUnreachable)
+}
+
+func printBudgets(b *control.Budgets) {
+	fmt.Printf("ledger: %s leads %v, term %d, terms of version %d\n", b.Leader, b.Members, b.Term, b.Version)
+	if b.Hold {
+		fmt.Println("nothing grows now: shares may be in force that this ledger was made to forget")
+	}
+	rows := [][]string{{"budget", "holder", "host", "floor", "extra", "until", "wants", "drawn", "denied", "for"}}
+	num := func(n int64) string { return strconv.FormatInt(n, 10) }
+	for _, u := range b.Budgets {
+		unit := "/s"
+		if u.Kind == budget.Count {
+			unit = ""
+		}
+		rows = append(rows, []string{u.Budget, fmt.Sprintf("%d of %d%s", u.InForce, u.Whole, unit), "", num(u.Floors), "", "", "", "", "", ""})
+		for _, h := range u.Holders {
+			if u.Kind == budget.Count {
+				rows = append(rows, []string{"", h.Name, h.Host, "", "1", "", "", "", "", h.Turn})
+				continue
+			}
+			until := "-"
+			if h.Left > 0 {
+				until = (time.Duration(h.Left) * time.Microsecond).Round(100 * time.Millisecond).String()
+			}
+			rows = append(rows, []string{"", h.Name, h.Host, num(h.Floor), num(h.Extra), until, num(h.Want), num(h.Drawn), num(h.Denied), ""})
+		}
+	}
+	table(rows)
+}
--- /dev/null
+++ b/cmd/milletbarrow/fleet_members.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/urfave/cli/v3"
+)
+
+func fleetMembersCommand() *cli.Command {
+	return &cli.Command{
+		Name: "members", Usage: "show which agents each agent thinks to be there",
+		Description: "A row an agent that was asked, a column an agent that it judges. Example:\n   milletbarrow fleet members --fleet fleet.sx",
+		Flags:       []cli.Flag{fleetFlag(), jsonFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			t, err := tool(c)
+			if err != nil {
+				return err
+			}
+			all := t.Members(ctx)
+			if c.Bool("json") {
+				err = printJSON(all)
+			} else {
+				head := []string{"asked"}
+				for _, h := range t.Spec.Hosts {
+					head = append(head, h.Name)
+				}
+				rows := [][]string{head}
+				for _, h := range all {
+					row := []string{h.Host}
+					if h.Error != "" {
+						row = append(row, h.Error)
+					}
+					for _, s := range h.Seen {
+						row = append(row, fmt.Sprintf("%s %v", s.State, (time.Duration(s.For)*time.Microsecond).Round(time.Second)))
+					}
+					rows = append(rows, row)
+				}
+				table(rows)
+			}
+			for _, h := range all {
+				if err == nil && h.Error != "" {
+					return cli.Exit("", exitUnreachable)
+				}
+			}
+			return err
+		},
+	}
+}
--- a/cmd/milletbarrow/fleet_wave.go
+++ b/cmd/milletbarrow/fleet_wave.go
@@ -30,7 +30,8 @@
 			&cli.DurationFlag{Name: "stall", Usage: "unable to go on for so long, it pauses"},
 			&cli.FloatFlag{Name: "turned-away", Usage: "share of invocations throttled or errored that pauses it"},
 			&cli.DurationFlag{Name: "turned-for", Usage: "if it lasts so long"},
-			&cli.IntFlag{Name: "abreast", Usage: "hosts that roll at once", Value: 1},
+			&cli.IntFlag{Name: "abreast", Usage: "hosts that roll at once, where no budget says how many instances may be out", Value: 1},
+			&cli.StringFlag{Name: "budget", Usage: "a count of the fleet's file: each that is out holds a unit, over all hosts"},
 		),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			t, err := tool(c)
@@ -49,14 +50,17 @@
 			if err := terms.Check(); err != nil {
 				return unusable(err)
 			}
-			o.Terms = &terms
+			o.Terms, o.Budget = &terms, t.Spec.WaveBudget
+			if c.IsSet("budget") {
+				o.Budget = c.String("budget")
+			}
 			if c.Bool("dry-run") {
 				return previewWave(c, t, all, terms)
 			}
 			ctx, cancel := patience(ctx, o)
 			defer cancel()
 			if !c.Bool("wait") {
-				if hosts, _ := t.ByHost(all); len(hosts) > 1 {
+				if hosts, _ := t.ByHost(all); len(hosts) > 1 && o.Budget == "" {
 					return unusable(fmt.Errorf("wait: a wave over %d hosts is taken from host to host by this command, which has to stay", len(hosts)))
 				}
 				return finish(c, t.Do(ctx, o, all, false), false)
--- a/cmd/milletbarrow/keeper.go
+++ b/cmd/milletbarrow/keeper.go
@@ -23,7 +23,7 @@
 			configFlag(), logFlag(),
 			&cli.StringFlag{Name: "dir", Required: true}, &cli.StringFlag{Name: "name", Required: true},
 			&cli.StringFlag{Name: "run", Required: true}, &cli.BoolFlag{Name: "adopt"},
-			&cli.StringFlag{Name: "levels"},
+			&cli.StringFlag{Name: "levels"}, &cli.StringSliceFlag{Name: "draw"},
 			&cli.DurationFlag{Name: "grace", Required: true}, &cli.DurationFlag{Name: "stop", Required: true},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -46,6 +46,9 @@
 			if file := c.String("levels"); file != "" {
 				command = append(command, "--levels", file)
 			}
+			for _, word := range c.StringSlice("draw") {
+				command = append(command, "--draw", word)
+			}
 			err = keeper.Run(ctx, keeper.Options{
 				Dir: c.String("dir"), Name: c.String("name"), Run: c.String("run"), Adopt: c.Bool("adopt"),
 				Begin: []string{self, "begin", "--"}, Command: command,
--- a/cmd/milletbarrow/main.go
+++ b/cmd/milletbarrow/main.go
@@ -31,7 +31,7 @@
 		DefaultCommand: "serve",
 		Commands: []*cli.Command{
 			serveCommand(), checkCommand(), limitsCommand(), versionCommand(),
-			agentCommand(), keeperCommand(), beginCommand(), fleetCommand(), levelsCommand(), labCommand(), loadCommand(), standinCommand(), demoCommand(),
+			agentCommand(), keeperCommand(), beginCommand(), fleetCommand(), levelsCommand(), labCommand(), loadCommand(), standinCommand(), trialCommand(), demoCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {}, // main ends the process
 	}
--- a/cmd/milletbarrow/serve.go
+++ b/cmd/milletbarrow/serve.go
@@ -38,6 +38,14 @@
 			Name: "inspect", Usage: "tell the state on a Unix `SOCKET`; off by default",
 		}, &cli.StringFlag{
 			Name: "levels", Usage: "reduce service by the ladder in this `FILE`; off by default",
+		}, &cli.StringSliceFlag{
+			Name: "draw", Usage: "draw a tenant's work from a fleet-wide budget, as `BUDGET=TENANT`; off by default",
+		}, &cli.StringFlag{
+			Name: "stamps", Usage: "write down in this `DIRECTORY` what is held and drawn of budgets, for an audit",
+			Sources: cli.EnvVars("MILLETBARROW_STAMPS"), Hidden: true,
+		}, &cli.IntFlag{
+			Name: "trial-clock", Usage: "let the clock of leases run faster by so many millionths, as a trial", Hidden: true,
+			Sources: cli.EnvVars("MILLETBARROW_TRIAL_CLOCK"),
 		}},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			if c.Args().Present() { // what is no command comes here too
@@ -61,14 +69,18 @@
 					return err
 				}
 			}
-			return serve(b, ladder, c.String("config"), c.String("inspect"), c.String("levels"), hangup)
+			sharing, err := sharingOf(c, b)
+			if err != nil {
+				return err
+			}
+			return serve(b, ladder, sharing, c.String("config"), c.String("inspect"), c.String("levels"), hangup)
 		},
 	}
 }
 
 // serve wires the parts together and waits for the notice to leave.
 func serve(
-	b *terms.Backend, ladder *levels.Ladder, file, socket, levelsFile string, hangup <-chan os.Signal,
+	b *terms.Backend, ladder *levels.Ladder, sharing *gate.Sharing, file, socket, levelsFile string, hangup <-chan os.Signal,
 ) error {
 	notice := make(chan os.Signal, 1)
 	signal.Notify(notice, syscall.SIGTERM, os.Interrupt)
@@ -83,6 +95,11 @@
 			return unusable(err)
 		}
 	}
+	if sharing != nil {
+		if err := g.Share(*sharing); err != nil {
+			return unusable(err)
+		}
+	}
 	tally := odd.New(lim.Quiet)
 	g.Watch(b.Watch)
 	link := farm.New(b.Farm, lim, tally, g.Open)
@@ -115,14 +132,17 @@
 		began := proc.Now()
 		state := func() inspect.State { return stateOf(b, began, server, g, link, d) }
 		go func() {
-			err := inspect.Serve(ctx, socket, limit.ForControl(), state, func(ago time.Duration) {
-				d.tell(g, ago, "inspection")
-			}, func(p inspect.Pin) error {
-				if p.Level == "" {
-					g.Unpin()
-					return nil
-				}
-				return g.Pin(p.Level, time.Duration(p.For)*time.Microsecond, p.By, p.Above)
+			err := inspect.Serve(ctx, socket, limit.ForControl(), inspect.Instance{
+				State: state,
+				Leave: func(ago time.Duration) { d.tell(g, ago, "inspection") },
+				Pin: func(p inspect.Pin) error {
+					if p.Level == "" {
+						g.Unpin()
+						return nil
+					}
+					return g.Pin(p.Level, time.Duration(p.For)*time.Microsecond, p.By, p.Above)
+				},
+				Ask: g.AskShare, Answer: g.AnswerShare,
 			})
 			if err != nil {
 				broken <- fmt.Errorf("inspect: %w", err)
@@ -134,6 +154,9 @@
 	go g.Beat(ctx.Done(), link.Sample, link.Sampled())
 	go server.Sweep(ctx.Done())
 	go tell(ctx, server, g, lim)
+	if sharing != nil && sharing.Stamps != nil {
+		go stampDrawn(ctx, g)
+	}
 	go reload(ctx, b, file, levelsFile, hangup, g, link, reports)
 	go func() {
 		broken <- errors.Join(errors.New("listen: the event loop has ended"), server.Serve())
@@ -151,6 +174,7 @@
 	}
 	reports.Off()
 	leave(server, d, lim)
+	g.DropShares()
 	state("stop", server, g)
 	return nil
 }
@@ -311,6 +335,7 @@
 	if c, on := g.Watched(); on {
 		s.Watched = c.Map()
 	}
+	s.Shares = g.Shares()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.heard {
--- /dev/null
+++ b/cmd/milletbarrow/serve_share.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"milletbarrow/agent"
+	"milletbarrow/gate"
+	"milletbarrow/proc"
+	"milletbarrow/serve/share"
+	"milletbarrow/serve/stamps"
+	"milletbarrow/terms"
+)
+
+// sharingOf makes what a backend draws from of the command line; nil where it draws from no budget.
+func sharingOf(c *cli.Command, b *terms.Backend) (*gate.Sharing, error) {
+	words := c.StringSlice("draw")
+	if len(words) == 0 {
+		return nil, nil
+	}
+	if len(words) > share.MostBudgets {
+		return nil, unusable(fmt.Errorf("--draw: %d budgets, at most %d can be drawn from", len(words), share.MostBudgets))
+	}
+	s := &gate.Sharing{Tenants: map[string]string{}, Machine: proc.Now}
+	var budgets []string
+	for _, w := range words {
+		budget, tenant, ok := strings.Cut(w, "=")
+		if _, twice := s.Tenants[tenant]; !ok || budget == "" || twice {
+			return nil, unusable(fmt.Errorf("--draw: found %q, wanted BUDGET=TENANT, each tenant once", w))
+		}
+		s.Tenants[tenant] = budget
+		budgets = append(budgets, budget)
+	}
+	ppm := c.Int("trial-clock")
+	s.Clock = func() share.Micros {
+		now := proc.Now()
+		return share.Micros(now + now/1000*int64(ppm)/1000)
+	}
+	me, err := proc.Of(os.Getpid())
+	if err != nil {
+		return nil, err
+	}
+	s.Holder = share.New(b.Name, agent.LifeOf(me), budgets)
+	if dir := c.String("stamps"); dir != "" {
+		f, err := os.OpenFile(filepath.Join(dir, b.Name+"."+strconv.Itoa(os.Getpid())), os.O_CREATE|os.O_WRONLY|os.O_EXCL, 0o600)
+		if err != nil {
+			return nil, unusable(err)
+		}
+		s.Stamps = stamps.New(f, proc.Now(), ppm)
+	}
+	return s, nil
+}
+
+// stampDrawn writes down what is drawn, often enough for an audit of short spans.
+func stampDrawn(ctx context.Context, g *gate.Gate) {
+	every := time.NewTicker(20 * time.Millisecond)
+	defer every.Stop()
+	for {
+		select {
+		case <-every.C:
+			g.StampDrawn()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/cmd/milletbarrow/trial.go
@@ -0,0 +1,171 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"milletbarrow/trial/ground"
+	"milletbarrow/trial/timetable"
+)
+
+func trialCommand() *cli.Command {
+	keep := &cli.StringFlag{Name: "keep", Usage: "keep what a failing trial left, in this `DIRECTORY`", Value: "trials"}
+	plant := &cli.StringFlag{Name: "plant", Usage: "a `FAULT` of the program itself, where it was built with -tags plant", Hidden: true}
+	return &cli.Command{
+		Name: "trial", Usage: "have agents, keepers and backends of this program work while parts of them fail, and audit it",
+		Description: "Real processes on this machine, links between them, a timetable of faults. docs/trial.md says how to read it. Exit codes:\n" +
+			"0 all held, 1 an error, 2 a file or word can't be used, 3 something did not hold.",
+		Commands: []*cli.Command{
+			{
+				Name: "run", Usage: "play timetables from files, or drawn from seeds", ArgsUsage: "[FILE ...]",
+				Description: "Examples:\n   milletbarrow trial run trial/testdata/all.sx\n   milletbarrow trial run --seed 1 --count 200 --hosts 9 --backends 120 --out trials.jsonl",
+				Flags: []cli.Flag{
+					keep, plant, jsonFlag(), &cli.BoolFlag{Name: "quiet", Usage: "no progress"},
+					&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "of the first one drawn"}, &cli.IntFlag{Name: "count", Usage: "so many are drawn"},
+					&cli.IntFlag{Name: "hosts", Value: 5}, &cli.IntFlag{Name: "backends", Value: 20}, &cli.IntFlag{Name: "faults", Value: 24},
+					&cli.DurationFlag{Name: "span", Value: 40 * time.Second}, &cli.StringFlag{Name: "out", Usage: "add each verdict to this `FILE`, a line each"},
+					&cli.BoolFlag{Name: "stop", Usage: "end at the first that does not hold"},
+				},
+				Action: runTrials,
+			},
+			{
+				Name: "replay", Usage: "play one timetable again, as it was kept", ArgsUsage: "FILE", Flags: []cli.Flag{keep, plant, jsonFlag()},
+				Description: "Example:\n   milletbarrow trial replay trials/drawn-17/trial.sx",
+				Action: func(ctx context.Context, c *cli.Command) error {
+					t, err := tableOf(c.Args().First())
+					if err != nil {
+						return err
+					}
+					return playTrials(ctx, c, []*timetable.Table{t})
+				},
+			},
+			{
+				Name: "shrink", Usage: "make a timetable that does not hold smaller, as long as it does not", ArgsUsage: "FILE",
+				Description: "Example:\n   milletbarrow trial shrink trials/drawn-17/trial.sx --within 30m > small.sx",
+				Flags:       []cli.Flag{keep, plant, &cli.DurationFlag{Name: "within", Value: time.Hour}, &cli.IntFlag{Name: "tries", Value: 2, Usage: "of each, as chance has a part in it"}},
+				Action:      shrinkTrial,
+			},
+			{
+				Name: "report", Usage: "sum up verdicts that were kept by --out", ArgsUsage: "FILE",
+				Description: "Example:\n   milletbarrow trial report trials.jsonl", Flags: []cli.Flag{jsonFlag()},
+				Action: reportTrials,
+			},
+		},
+	}
+}
+
+func tableOf(file string) (*timetable.Table, error) {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return nil, unusable(err)
+	}
+	t, err := timetable.Read(file, raw)
+	return t, unusable(err)
+}
+
+func runTrials(ctx context.Context, c *cli.Command) error {
+	var all []*timetable.Table
+	for _, file := range c.Args().Slice() {
+		t, err := tableOf(file)
+		if err != nil {
+			return err
+		}
+		all = append(all, t)
+	}
+	if c.Int("hosts") < 1 || c.Int("hosts") > timetable.MostHosts || c.Int("backends") < 1 || c.Int("backends") > timetable.MostBackends {
+		return unusable(fmt.Errorf("trial: 1 to %d hosts, 1 to %d backends", timetable.MostHosts, timetable.MostBackends))
+	}
+	for n := range c.Int("count") {
+		all = append(all, timetable.Draw(c.Uint64("seed")+uint64(n), c.Int("hosts"), c.Int("backends"), c.Int("faults"), c.Duration("span")))
+	}
+	if len(all) == 0 {
+		return unusable(errors.New("trial: name a file, or --count"))
+	}
+	return playTrials(ctx, c, all)
+}
+
+func trialOptions(c *cli.Command, t *timetable.Table) (o ground.Options, err error) {
+	self, err := os.Executable()
+	o = ground.Options{Program: self, Table: t, Keep: c.String("keep"), Plant: c.String("plant")}
+	if !c.Bool("quiet") {
+		o.Say = func(format string, args ...any) { fmt.Fprintf(os.Stderr, format+"\n", args...) }
+	}
+	return o, err
+}
+
+// playTrials plays one after the other, and tells of each.
+func playTrials(ctx context.Context, c *cli.Command, all []*timetable.Table) error {
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	failed := 0
+	for i, t := range all {
+		o, err := trialOptions(c, t)
+		if err != nil {
+			return err
+		}
+		v, err := ground.Run(ctx, o)
+		if err != nil {
+			return err
+		}
+		if file := c.String("out"); file != "" {
+			if err := ground.Append(file, v); err != nil {
+				return err
+			}
+		}
+		if c.Bool("json") {
+			err = printJSON(v)
+		} else {
+			ground.Print(os.Stdout, v)
+		}
+		if !v.OK {
+			failed++
+		}
+		if err != nil || ctx.Err() != nil {
+			return errors.Join(err, ctx.Err())
+		}
+		if failed > 0 && c.Bool("stop") {
+			return cli.Exit(fmt.Sprintf("%s did not hold, after %d", t.Name, i+1), exitSome)
+		}
+	}
+	if failed > 0 {
+		return cli.Exit(fmt.Sprintf("%d of %d did not hold", failed, len(all)), exitSome)
+	}
+	return nil
+}
+
+func shrinkTrial(ctx context.Context, c *cli.Command) error {
+	t, err := tableOf(c.Args().First())
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.Duration("within"))
+	defer cancel()
+	small, err := ground.Shrink(ctx, t, c.Int("tries"), func(t *timetable.Table) (ground.Options, error) { return trialOptions(c, t) })
+	if err != nil {
+		return err
+	}
+	fmt.Print(small)
+	return nil
+}
+
+func reportTrials(_ context.Context, c *cli.Command) error {
+	r, err := ground.ReadReport(c.Args().First())
+	if err != nil {
+		return unusable(err)
+	}
+	if c.Bool("json") {
+		return printJSON(r)
+	}
+	r.Print(os.Stdout)
+	if r.Failed > 0 {
+		return cli.Exit("", exitSome)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/milletbarrow/trial_test.go
@@ -0,0 +1,159 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"milletbarrow/proc"
+	"milletbarrow/trial/ground"
+	"milletbarrow/trial/timetable"
+)
+
+// played plays a timetable with real processes of a built program.
+func played(t *testing.T, program, plant string, table *timetable.Table) *ground.Verdict {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Minute)
+	defer cancel()
+	v, err := ground.Run(ctx, ground.Options{Program: program, Table: table, Plant: plant, Say: t.Logf})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var b strings.Builder
+	ground.Print(&b, v)
+	t.Log(b.String())
+	return v
+}
+
+func kept(t *testing.T, name string) *timetable.Table {
+	t.Helper()
+	table, err := tableOf(filepath.Join("../../trial/testdata", name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return table
+}
+
+// TestTrial is the bounded part of the proving ground: five agents, twenty backends under load, at least one fault of each
+// kind.
+func TestTrial(t *testing.T) {
+	v := played(t, program, "", timetable.Draw(27, 5, 20, len(timetable.Kinds()), 32*time.Second))
+	if !v.OK {
+		t.Errorf("did not hold: %v", v.Why)
+	}
+	missing := 0
+	for _, k := range timetable.Kinds() {
+		if v.Faults[string(k)] == 0 {
+			missing++
+		}
+	}
+	if missing > 2 { // what was to be killed may be dead already
+		t.Errorf("%d kinds of %d were not brought about: %v", missing, len(timetable.Kinds()), v.Faults)
+	}
+}
+
+// TestTrialWave takes a wave over four hosts while its tool and some agents are killed.
+func TestTrialWave(t *testing.T) {
+	if v := played(t, program, "", kept(t, "wave.sx")); !v.OK {
+		t.Errorf("did not hold: %v", v.Why)
+	}
+}
+
+// planted builds the program with the faults that a trial must catch.
+func planted(t *testing.T) string {
+	t.Helper()
+	to := filepath.Join(t.TempDir(), "milletbarrow")
+	build := exec.Command("go", "build", "-tags", "plant", "-o", to, ".")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return to
+}
+
+// TestTrialCatches has the auditor judge a program with a fault, and the same program without it.
+func TestTrialCatches(t *testing.T) {
+	bad := planted(t)
+	table := &timetable.Table{Name: "floors", Seed: 1, Hosts: 3, Backends: 6, Span: 4 * time.Second, Load: 0.2}
+	if v := played(t, bad, "floors", table); v.OK || !strings.Contains(strings.Join(v.Why, " "), "shares in force") {
+		t.Errorf("floors counted twice were not found: %v", v.Why)
+	}
+	// At a point between what is written and what is replicated, and between that and the answer, an agent dies.
+	table.Name, table.Span = "points", 14*time.Second
+	for i, word := range []string{"stored", "replicated", "stored"} {
+		table.Faults = append(table.Faults, timetable.Fault{
+			Kind: timetable.Point, A: fmt.Sprint("h", i+1), Word: word, At: time.Duration(1+4*i) * time.Second, For: 3 * time.Second,
+		})
+	}
+	v := played(t, bad, "", table)
+	if !v.OK || v.Faults["point"] < 2 {
+		t.Errorf("with agents that die at points: %v, faults %v", v.Why, v.Faults)
+	}
+}
+
+// TestTrialLeavesNothing: what a trial began ends with it, also where it is broken off.
+func TestTrialLeavesNothing(t *testing.T) {
+	g, err := ground.Open(ground.Options{Program: program, Table: &timetable.Table{Name: "none", Hosts: 1, Backends: 2, Span: time.Second}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := g.Start(t.Context()); err != nil { // one agent is a group of one
+		t.Error(err)
+	}
+	pids := g.Processes()
+	if len(pids) != 5 {
+		t.Errorf("%d processes, wanted an agent, two keepers and two backends", len(pids))
+	}
+	if err := g.Close(); err != nil {
+		t.Error(err)
+	}
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		alive := []proc.Identity{}
+		for _, id := range pids {
+			if id.Alive() {
+				alive = append(alive, id)
+			}
+		}
+		if len(alive) == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("still there: %v", alive)
+		}
+	}
+}
+
+// TestBudgetsCommands: what can't be kept is refused with its place, and what can be asked is answered.
+func TestBudgetsCommands(t *testing.T) {
+	dir := t.TempDir()
+	file := filepath.Join(dir, "f.sx")
+	check := func(budgets string) string {
+		text := "(fleet f (host h1 (agent \"unix:/tmp/a\") (peer \"127.0.0.1:7001\")) (host h2 (agent \"unix:/tmp/b\") (peer \"127.0.0.1:7002\"))\n" +
+			" (group g (host h1) (config \"%n.json\") (range n 1 4))\n" + budgets + ")"
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		out, _ := exec.Command(program, "fleet", "check", "--fleet", file).CombinedOutput()
+		return string(out)
+	}
+	for budgets, wanted := range map[string]string{
+		"(budgets (ledger h1) (budget b (rate 10) (tenant t) (floor 3)))":                              "f.sx:3:53: fleet.budgets.budget.floor: the floors of 4 backends sum up to 12, the whole is 10",
+		"(budgets (ledger h1) (budget b (rate 10) (tenant t) (lease 1s) (margin 2s)))":                 "f.sx:3:53: fleet.budgets.budget.lease: 1000 ms is not longer than its margin, 2000 ms",
+		"(budgets (ledger h1) (budget b (rate 10) (tenant t) (lease 10s) (margin 50ms)))":              "budget.margin: 50 ms is less than 100 ms",
+		"(budgets (ledger h1 h2) (budget b (count 2)))":                                                "f.sx:3:10: fleet.budgets.ledger: a group of two stands still",
+		"(budgets (ledger h9) (budget b (count 2)))":                                                   `"h9" is no host of this file`,
+		"(budgets (ledger h1) (budget b (count 2) (rate 3)))":                                          "wanted either (rate UNITS-A-SECOND) or (count UNITS)",
+		"(budgets (ledger h1) (budget b (count 2)) (budget b (count 2)))":                              `budget "b" stands twice`,
+		"(budgets (ledger h1) (budget b (rate 9)))":                                                    "budget.tenant: missing",
+		"(budgets (ledger h1) (budget b (count 2))) (wave (budget c))":                                 `budget "c" is no count of this file`,
+		"(budgets (ledger h1) (budget b (rate 9) (tenant t) (floors (n1 2) (n2 1)))) (wave (width 2))": "can be used",
+	} {
+		if out := check(budgets); !strings.Contains(out, wanted) {
+			t.Errorf("%s\n%swanted %q", budgets, out, wanted)
+		}
+	}
+}
--- a/control/api.go
+++ b/control/api.go
@@ -3,8 +3,12 @@
 package control
 
 import (
+	"context"
+
 	"milletbarrow/fleet"
 	"milletbarrow/inspect"
+	"milletbarrow/manage/budget"
+	"milletbarrow/manage/member"
 	"milletbarrow/record"
 )
 
@@ -23,6 +27,7 @@
 	Within int64            `json:"within_us"` // from its arrival; the agent's own clock counts it
 	Now    bool             `json:"now,omitempty"`
 	Terms  *fleet.WaveTerms `json:"terms,omitempty"`
+	Budget string           `json:"budget,omitempty"` // of a wave: a count of which each that is out holds a unit
 }
 
 // Status is an agent's state.
@@ -77,6 +82,18 @@
 	// closed once there are more.
 	Entries(after uint64) (entries []record.Entry, lost uint64, more <-chan struct{})
 	History(after uint64, most int) ([]record.Entry, error)
+	// Budgets asks the ledger's leader, whichever agent that is.
+	Budgets(ctx context.Context) (Budgets, error)
+	// WriteOff is an operator's word that what a name has of budgets is in force no more.
+	WriteOff(ctx context.Context, name, by string) error
+	Members() []member.Seen
+}
+
+// Budgets are how the fleet's budgets stand, and how this agent takes part in keeping them.
+type Budgets struct {
+	budget.View
+	Host  string `json:"host"`
+	Stage string `json:"stage"`
 }
 
 // Refusal is an error with the status that says what kind it is.
--- a/control/client.go
+++ b/control/client.go
@@ -18,6 +18,7 @@
 
 	"milletbarrow/fleet"
 	"milletbarrow/limit"
+	"milletbarrow/manage/member"
 	"milletbarrow/record"
 	"milletbarrow/talk"
 )
@@ -211,6 +212,21 @@
 	return false, lines.Err()
 }
 
+// Budgets asks how the fleet's budgets stand.
+func (c *Client) Budgets(ctx context.Context) (b Budgets, err error) {
+	return b, c.call(ctx, http.MethodGet, "/v1/budgets", nil, &b)
+}
+
+// Members asks which agents this one thinks are there.
+func (c *Client) Members(ctx context.Context) (all []member.Seen, err error) {
+	return all, c.call(ctx, http.MethodGet, "/v1/members", nil, &all)
+}
+
+// WriteOff says that what a name has of budgets is in force no more.
+func (c *Client) WriteOff(ctx context.Context, name, by string) error {
+	return c.call(ctx, http.MethodPost, "/v1/write-off/"+url.PathEscape(name)+"?by="+url.QueryEscape(by), nil, nil)
+}
+
 // Close lets go of kept connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
--- a/control/server.go
+++ b/control/server.go
@@ -85,6 +85,11 @@
 		}
 		return s.m.History(after, most)
 	})
+	at("GET /v1/budgets", func(r *http.Request) (any, error) { return s.m.Budgets(r.Context()) })
+	at("GET /v1/members", func(*http.Request) (any, error) { return s.m.Members(), nil })
+	at("POST /v1/write-off/{name}", func(r *http.Request) (any, error) {
+		return struct{}{}, s.m.WriteOff(r.Context(), r.PathValue("name"), r.URL.Query().Get("by"))
+	})
 	mux.HandleFunc("GET /v1/stream", s.stream)
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		s.answer(w, nil, &Refusal{http.StatusNotFound, fmt.Sprintf("%s %s: nothing here; this agent speaks version %d", r.Method, r.URL.Path, Version)})
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -16,6 +16,7 @@
 	"path/filepath"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"milletbarrow/admit"
@@ -72,6 +73,7 @@
 	Backends []string
 	Names    []string
 	Yards    []*yard.Yard
+	Loopback string // an address of this machine where nobody's calls begin: a port that is free stays free until it is used
 
 	register *http.Server
 	mu       sync.Mutex
@@ -84,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	site = &Site{Dir: dir, Fleet: filepath.Join(dir, "fleet.sx"), listed: map[string]time.Time{}}
+	site = &Site{Dir: dir, Fleet: filepath.Join(dir, "fleet.sx"), listed: map[string]time.Time{}, Loopback: loopback()}
 	defer func() {
 		if err != nil {
 			site.Clear()
@@ -104,7 +106,7 @@
 	}()
 	for n := range s.Hosts.Count {
 		name := fmt.Sprint("n", n+1)
-		free, err := net.Listen("tcp", "127.0.0.1:0")
+		free, err := net.Listen("tcp", site.Loopback+":0")
 		if err != nil {
 			return site, err
 		}
@@ -137,6 +139,14 @@
 	return site, os.WriteFile(site.Fleet, []byte(text), 0o600)
 }
 
+var laid atomic.Int32
+
+// loopback is another address for each site of each process.
+func loopback() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>8&0x7f, pid&0xff, 2+laid.Add(1)%250)
+}
+
 // Bring brings a trouble about at its time, if it can be brought about here, and takes it back. tool runs a sub-command of fleet
 // for all instances.
 func (s *Site) Bring(ctx context.Context, t model.Trouble, say func(string, ...any), tool func(context.Context, ...string) error) error {
--- /dev/null
+++ b/fleet/budgets.go
@@ -0,0 +1,124 @@
+package fleet
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"milletbarrow/manage/budget"
+	"milletbarrow/manage/quorum"
+	"milletbarrow/serve/share"
+	"milletbarrow/sexp"
+)
+
+// readBudgets reads what the fleet shares, and which agents keep the ledger of it.
+func (s *Spec) readBudgets(f *sexp.Form) {
+	s.Budgets = &budget.Terms{Version: uint64(f.Int("version", 1, 1<<40, 1))}
+	s.Ledger = f.Words("ledger")
+	if len(s.Ledger) == 0 && len(s.Hosts) == 1 {
+		s.Ledger = []string{s.Hosts[0].Name}
+	}
+	if err := quorum.Set(s.Ledger); err != nil {
+		f.Fail("ledger", "%v", err)
+	}
+	if len(s.Ledger) == 0 {
+		f.Fail("ledger", "missing: the hosts whose agents keep the ledger")
+	}
+	for _, m := range s.Ledger {
+		if s.Host(m) == nil {
+			f.Fail("ledger", "%q is no host of this file", m)
+		}
+	}
+	if len(s.Hosts) > 1 {
+		for _, h := range s.Hosts {
+			if h.Peer == "" {
+				f.Fail("", "host %q has no (peer ADDRESS), and budgets are shared with it", h.Name)
+			}
+		}
+	}
+	for _, b := range f.All("budget") {
+		s.readBudget(b)
+	}
+	if n := len(s.Budgets.Budgets); n == 0 || n > share.MostBudgets {
+		f.Fail("", "%d budgets, there can be 1 to %d", n, share.MostBudgets)
+	}
+	f.Done()
+}
+
+func (s *Spec) readBudget(f *sexp.Form) {
+	b := budget.Budget{Name: name(f)}
+	if s.Budgets.Find(b.Name) != nil {
+		f.Fail("", "budget %q stands twice", b.Name)
+	}
+	rate, count := f.Int("rate", 0, share.Most, 0), f.Int("count", 0, share.Most, 0)
+	switch {
+	case rate > 0 && count == 0:
+		b.Kind, b.Whole = budget.Rate, int64(rate)
+		s.readRate(f, &b)
+	case count > 0 && rate == 0:
+		b.Kind, b.Whole = budget.Count, int64(count)
+	default:
+		f.Fail("", "wanted either (rate UNITS-A-SECOND) or (count UNITS)")
+	}
+	f.Done()
+	if b.Kind != "" {
+		if field, err := b.Check(); err != nil {
+			f.Fail(field, "%v", err)
+		}
+	}
+	s.Budgets.Budgets = append(s.Budgets.Budgets, b)
+}
+
+func (s *Spec) readRate(f *sexp.Form, b *budget.Budget) {
+	b.Tenant = f.Text("tenant", "")
+	b.Divide = budget.Divide(f.OneOf("divide", string(budget.Demand), string(budget.Even), string(budget.Capacity)))
+	b.Step = int64(f.Int("step", 1, share.Most, 1))
+	b.Lease = budget.Micros(f.Span("lease", 100*time.Millisecond, time.Hour, 3*time.Second).Microseconds())
+	margin := max(b.Lease/20, budget.LeastMargin(b.Lease))
+	b.Margin = budget.Micros(f.Span("margin", 0, time.Hour, time.Duration(margin)*time.Microsecond).Microseconds())
+	if b.Tenant == "" {
+		f.Fail("tenant", "missing: whose work draws from it")
+	}
+	floor := int64(f.Int("floor", 0, share.Most, 0))
+	groups := f.Words("groups")
+	b.Floors, b.Weight = map[string]int64{}, map[string]int64{}
+	for _, g := range groups {
+		if s.Group(g) == nil {
+			f.Fail("groups", "%q is no group of this file", g)
+		}
+	}
+	for _, in := range s.Of("") {
+		if len(groups) == 0 || slices.Contains(groups, in.Group) {
+			b.Floors[in.Name] = floor
+		}
+	}
+	own := func(field string, least int64, to map[string]int64) { // (floors (n1 4) (n2 2))
+		sub := f.Field(field)
+		if sub == nil {
+			return
+		}
+		for name := range b.Floors {
+			for _, one := range sub.All(name) {
+				word := one.Arg()
+				if n, err := strconv.ParseInt(word, 10, 64); err != nil || n < least || n > share.Most {
+					one.Fail("", "found %q, wanted a whole number from %d to %d", word, least, int64(share.Most))
+				} else {
+					to[name] = n
+				}
+				one.Done()
+			}
+		}
+		sub.Done()
+	}
+	own("floors", 0, b.Floors)
+	own("weights", 1, b.Weight)
+}
+
+// counts tells whether a budget of that name is a count.
+func (s *Spec) counts(name string) bool {
+	if s.Budgets == nil {
+		return false
+	}
+	b := s.Budgets.Find(name)
+	return b != nil && b.Kind == budget.Count
+}
--- a/fleet/command.go
+++ b/fleet/command.go
@@ -26,12 +26,13 @@
 	ID       string     `json:"id"`
 	Kind     Kind       `json:"kind"`
 	Names    []string   `json:"names"`
-	By       string     `json:"by"`              // who asked
-	Asked    int64      `json:"asked_unix_us"`   // wall clock, for people
-	Due      Micros     `json:"due"`             // what has no result by then is late
-	Now      bool       `json:"now,omitempty"`   // Stop: killed at once, its callers get no answer
-	Terms    *WaveTerms `json:"terms,omitempty"` // Wave
-	Number   int        `json:"number"`          // order of arrival at this agent
+	By       string     `json:"by"`               // who asked
+	Asked    int64      `json:"asked_unix_us"`    // wall clock, for people
+	Due      Micros     `json:"due"`              // what has no result by then is late
+	Now      bool       `json:"now,omitempty"`    // Stop: killed at once, its callers get no answer
+	Terms    *WaveTerms `json:"terms,omitempty"`  // Wave
+	Budget   string     `json:"budget,omitempty"` // Wave: a count of the fleet, of which each that is out holds a unit
+	Number   int        `json:"number"`           // order of arrival at this agent
 	State    State      `json:"state"`
 	Cause    string     `json:"cause,omitempty"` // of a pause or a cancel
 	Begun    Micros     `json:"begun"`
@@ -118,6 +119,9 @@
 	if (c.Terms != nil) != (c.Kind == Wave) {
 		return fmt.Errorf("terms: they belong to a wave, and a wave needs them")
 	}
+	if c.Budget != "" && c.Kind != Wave {
+		return fmt.Errorf("budget: not with %s", c.Kind)
+	}
 	if c.Terms != nil {
 		return c.Terms.Check()
 	}
@@ -127,7 +131,7 @@
 // same tells whether two commands ask for the same; who asked and when does not matter.
 func (c *Command) same(o *Command) bool {
 	terms := c.Terms == o.Terms || c.Terms != nil && o.Terms != nil && *c.Terms == *o.Terms
-	return c.Kind == o.Kind && c.Now == o.Now && terms && slices.Equal(c.Names, o.Names)
+	return c.Kind == o.Kind && c.Now == o.Now && c.Budget == o.Budget && terms && slices.Equal(c.Names, o.Names)
 }
 
 // clone is a copy that shares nothing that changes.
--- a/fleet/life.go
+++ b/fleet/life.go
@@ -92,6 +92,8 @@
 	Kills    int    `json:"kills,omitempty"`    // in this life
 	Last     End    `json:"last"`               // of the life before
 	Budget   Budget `json:"budget"`             // launches by itself
+	Unit     Unit   `json:"unit,omitzero"`      // of the fleet's count of what is out
+	Turns    int    `json:"turns,omitempty"`    // of asking for one
 	Tries    int    `json:"tries,omitempty"`    // of the step, or of launches in a row
 	Next     Micros `json:"next,omitempty"`     // no try before
 
@@ -134,6 +136,7 @@
 	Adopt bool   `json:"adopt,omitempty"`
 	Told  Micros `json:"told,omitempty"` // Tell: when it was first told; its window runs from there
 	Cause string `json:"cause,omitempty"`
+	Unit  Unit   // of a step about one
 }
 
 // Note is a line of history.
--- a/fleet/machine.go
+++ b/fleet/machine.go
@@ -173,7 +173,7 @@
 		return false
 	}
 	for _, name := range m.names {
-		if in := m.instances[name]; in.Pending || in.Deadline != 0 || in.Up && !in.Spent && in.Phase.Down() {
+		if in := m.instances[name]; in.Pending || in.Deadline != 0 || in.Unit.Turn != "" || in.Up && !in.Spent && in.Phase.Down() {
 			return false
 		}
 	}
@@ -258,6 +258,18 @@
 			m.refused(now, in, e)
 			m.advance(now, in)
 		}
+	case UnitTaken:
+		if in := m.instances[e.Name]; in != nil {
+			m.unitTaken(now, in, e)
+		}
+	case UnitGiven:
+		if in := m.instances[e.Name]; in != nil && in.Unit.Turn == e.Turn {
+			in.Unit = Unit{}
+			m.note(now, in, "unit given back", "")
+			m.touch(in)
+		}
+	case UnitsHeld:
+		m.unitsHeld(now, e)
 	case Tick:
 		m.sweep(now)
 	}
@@ -286,6 +298,7 @@
 	m.settle(now, in)
 	m.reconcile(now, in)
 	m.settle(now, in)
+	m.settleUnit(now, in)
 }
 
 // refused: a step could not be taken.
--- a/fleet/spec.go
+++ b/fleet/spec.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"milletbarrow/limit"
+	"milletbarrow/manage/budget"
 	"milletbarrow/sexp"
 )
 
@@ -27,18 +28,22 @@
 
 // Spec is a fleet as its file describes it.
 type Spec struct {
-	Name      string
-	Program   []string // starts an instance; serve and its flags are appended. Empty: this program
-	Hosts     []HostSpec
-	Groups    []GroupSpec
-	Wave      WaveTerms // what a wave has if its command does not say
-	instances map[string]*InstanceSpec
+	Name       string
+	Program    []string // starts an instance; serve and its flags are appended. Empty: this program
+	Hosts      []HostSpec
+	Groups     []GroupSpec
+	Wave       WaveTerms     // what a wave has if its command does not say
+	WaveBudget string        // the count of which each instance that a wave has out holds a unit; empty: none
+	Budgets    *budget.Terms // nil: nothing is shared
+	Ledger     []string      // hosts whose agents keep it
+	instances  map[string]*InstanceSpec
 }
 
 // HostSpec is a machine with an agent.
 type HostSpec struct {
 	Name  string
 	Agent string // unix:PATH or loopback ADDRESS:PORT
+	Peer  string // loopback ADDRESS:PORT for the agents of other hosts; empty: it talks to none
 }
 
 // GroupSpec is a set of instances that serve the same, on one host.
@@ -163,13 +168,16 @@
 	f := forms[0]
 	s := &Spec{Name: f.Arg(), Program: f.Words("program"), instances: map[string]*InstanceSpec{}, Wave: DefaultWave()}
 	for _, h := range f.All("host") {
-		host := HostSpec{Name: name(h), Agent: h.Text("agent", "")}
+		host := HostSpec{Name: name(h), Agent: h.Text("agent", ""), Peer: h.Text("peer", "")}
 		if h.Done(); s.Host(host.Name) != nil {
 			h.Fail("", "host %q stands twice", host.Name)
 		}
 		if err := CheckAddress(host.Agent); err != nil {
 			h.Fail("agent", "%v", err)
 		}
+		if host.Peer != "" && (strings.HasPrefix(host.Peer, "unix:") || CheckAddress(host.Peer) != nil) {
+			h.Fail("peer", "%q is not 127.x.x.x:PORT", host.Peer)
+		}
 		s.Hosts = append(s.Hosts, host)
 	}
 	if len(s.Hosts) == 0 {
@@ -187,8 +195,15 @@
 		}
 	}
 	if w := f.Field("wave"); w != nil {
+		s.WaveBudget = w.Text("budget", "")
 		s.Wave = readWave(w, s.Wave)
 	}
+	if b := f.Field("budgets"); b != nil {
+		s.readBudgets(b)
+	}
+	if s.WaveBudget != "" && !s.counts(s.WaveBudget) {
+		f.Fail("wave", "budget %q is no count of this file", s.WaveBudget)
+	}
 	f.Done()
 	return s, errs.Err()
 }
--- a/fleet/wave.go
+++ b/fleet/wave.go
@@ -181,9 +181,9 @@
 		return
 	}
 	var tallies map[string]*tally
-	blocked := false
+	blocked, asked := false, 0
 	for _, n := range c.Names {
-		if len(c.Out) >= c.Terms.Width {
+		if len(c.Out)+asked >= c.Terms.Width {
 			blocked = false
 			break
 		}
@@ -211,6 +211,11 @@
 			blocked = true
 			continue
 		}
+		if !m.unitFor(now, c, in) { // others of the fleet may have them all
+			g.usable -= cost
+			asked++
+			continue
+		}
 		g.usable -= cost
 		c.Out[n] = true
 		m.recycle(now, in)
@@ -218,7 +223,7 @@
 		m.advance(now, in)
 	}
 	switch {
-	case !blocked || len(c.Out) > 0:
+	case !blocked || len(c.Out)+asked > 0:
 		if c.Stuck != 0 {
 			c.Stuck = 0
 		}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -118,6 +118,7 @@
 	tick    chan struct{} // closed at the next tick; nil while nobody waits for it
 	counts  Counts
 	reduced *reduction // nil without a ladder
+	shares  *shares    // nil without fleet-wide budgets
 	watched *watched   // nil without settings to be watched
 	cold    bool       // the farm was, at the opening
 	opened  Micros     // as the module has it
@@ -244,7 +245,7 @@
 		ID: inv.ID, Operation: inv.Operation, Tenant: inv.Tenant, Rank: inv.Rank, Retry: inv.Retry,
 		Hint: inv.Work, Waited: max(0, now-inv.At),
 		Budget: max(1, t.due-now), // a wait that is used up is due at once; 0 would mean that none was told
-		KB:     inv.KB, Shed: t.shed,
+		KB:     inv.KB, Shed: t.shed, Share: g.draw(&inv, t.shed),
 	})
 	if fault != nil {
 		g.answer(t, Word{Verdict: Errored})
--- /dev/null
+++ b/gate/share.go
@@ -0,0 +1,131 @@
+package gate
+
+import (
+	"fmt"
+
+	"milletbarrow/admit"
+	"milletbarrow/serve/share"
+	"milletbarrow/serve/stamps"
+)
+
+// shares are what fleet-wide budgets add to a gate; nil where there are none. The gate's lock guards them.
+type shares struct {
+	holder  *share.Holder
+	clock   func() share.Micros // the holder's own
+	machine func() int64        // the machine's, for stamps
+	tenants []int               // by tenant: the budget that it draws from, or -1
+	stamps  *stamps.Stamps      // nil where nobody audits
+}
+
+// Sharing is what a gate draws from.
+type Sharing struct {
+	Holder  *share.Holder
+	Tenants map[string]string   // by tenant: its budget
+	Clock   func() share.Micros // the machine's own, sleep counted; leases are judged by it
+	Machine func() int64
+	Stamps  *stamps.Stamps // for an auditor; may be nil
+}
+
+// Share has the gate draw tenants' work from budgets, from now on. An error names a tenant that this deployment lacks.
+func (g *Gate) Share(s Sharing) error {
+	all := &shares{holder: s.Holder, clock: s.Clock, machine: s.Machine, tenants: make([]int, len(g.sheet.Tenants)), stamps: s.Stamps}
+	found := 0
+	for i, name := range g.sheet.Tenants {
+		all.tenants[i] = -1
+		if b, ok := s.Tenants[name]; ok {
+			all.tenants[i] = s.Holder.Index(b)
+			found++
+		}
+	}
+	if found < len(s.Tenants) {
+		return fmt.Errorf("draw: some tenant of %v is none of this deployment's %v", s.Tenants, g.sheet.Tenants)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.shares = all
+	return nil
+}
+
+// draw takes a unit of the tenant's budget for work that comes now. What a level sheds takes none.
+func (g *Gate) draw(inv *Invocation, shed Micros) admit.Share {
+	s := g.shares
+	if s == nil || shed > 0 || inv.Tenant < 0 || inv.Tenant >= len(s.tenants) || s.tenants[inv.Tenant] < 0 {
+		return admit.NotTold
+	}
+	if s.holder.Draw(s.clock(), s.tenants[inv.Tenant]) {
+		return admit.Within
+	}
+	return admit.Beyond
+}
+
+// AskShare makes a question for the ledger; ok is false where there are no budgets.
+func (g *Gate) AskShare() (a share.Ask, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.shares == nil {
+		return a, false
+	}
+	return g.shares.holder.Ask(g.shares.clock()), true
+}
+
+// AnswerShare takes in what the ledger grants.
+func (g *Gate) AnswerShare(a share.Answer) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.shares
+	if s == nil {
+		return fmt.Errorf("no budget is drawn from here")
+	}
+	at := s.machine() // before the holder's clock is read: a stamp must not let a lease seem to last longer
+	now := s.clock()
+	if err := s.holder.Answer(now, a); err != nil {
+		return err
+	}
+	return s.have(at, now)
+}
+
+// have stamps what is held, if anybody reads that.
+func (s *shares) have(at int64, now share.Micros) error {
+	if s.stamps == nil {
+		return nil
+	}
+	return s.stamps.Have(at, now, s.holder.Views(now))
+}
+
+// DropShares gives all back; it is the last that this process draws.
+func (g *Gate) DropShares() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s := g.shares; s != nil {
+		s.stampDrawn(s.clock())
+		at := s.machine()
+		now := s.clock()
+		s.holder.Drop(now)
+		s.have(at, now)
+	}
+}
+
+// Shares are the budgets as they are held; nil where there are none.
+func (g *Gate) Shares() []share.View {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.shares == nil {
+		return nil
+	}
+	return g.shares.holder.Views(g.shares.clock())
+}
+
+// StampDrawn writes down what was drawn since the last time, where somebody audits.
+func (g *Gate) StampDrawn() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.shares != nil {
+		g.shares.stampDrawn(g.shares.clock())
+	}
+}
+
+func (s *shares) stampDrawn(now share.Micros) {
+	if s.stamps != nil {
+		s.stamps.Drew(s.machine(), s.holder.Views(now))
+	}
+}
--- a/inspect/inspect.go
+++ b/inspect/inspect.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"milletbarrow/limit"
+	"milletbarrow/serve/share"
 	"milletbarrow/talk"
 )
 
@@ -51,6 +52,8 @@
 	Signals string   `json:"signals,omitempty"`  // the latest, as a line of a trace has them
 
 	Watched map[string]int `json:"watched,omitempty"` // by kind, where watched settings would have decided otherwise
+
+	Shares []share.View `json:"shares,omitempty"` // of fleet-wide budgets
 }
 
 // Pin holds a level of reduced service; an empty level lets the signals decide again.
@@ -68,12 +71,17 @@
 
 const longestAgo = int64(time.Hour / time.Microsecond)
 
-// Serve answers on the socket at path until ctx ends. state must not block; leave is told of each notice, pin of
-// each level to be held.
-func Serve(
-	ctx context.Context, path string, b limit.Control, state func() State, leave func(ago time.Duration),
-	pin func(Pin) error,
-) error {
+// Instance is what answers on the socket. None of it may block.
+type Instance struct {
+	State  func() State
+	Leave  func(ago time.Duration) // each notice
+	Pin    func(Pin) error
+	Ask    func() (share.Ask, bool) // what the instance would have of the fleet's budgets; false without any
+	Answer func(share.Answer) error
+}
+
+// Serve answers on the socket at path until ctx ends.
+func Serve(ctx context.Context, path string, b limit.Control, in Instance) error {
 	l, err := Listen(path)
 	if err != nil {
 		return err
@@ -81,7 +89,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/state", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
-		json.NewEncoder(w).Encode(state())
+		json.NewEncoder(w).Encode(in.State())
 	})
 	mux.HandleFunc("POST /v1/leave", func(w http.ResponseWriter, r *http.Request) {
 		var n Notice
@@ -90,21 +98,20 @@
 			http.Error(w, fmt.Sprintf("ago_us: %d is not from 0 to an hour: %v", n.Ago, err), http.StatusBadRequest)
 			return
 		}
-		leave(time.Duration(n.Ago) * time.Microsecond)
+		in.Leave(time.Duration(n.Ago) * time.Microsecond)
 		w.WriteHeader(http.StatusAccepted)
 	})
-	mux.HandleFunc("POST /v1/level", func(w http.ResponseWriter, r *http.Request) {
-		var p Pin
-		err := json.NewDecoder(io.LimitReader(r.Body, int64(b.Message))).Decode(&p)
-		if err == nil {
-			err = pin(p)
-		}
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusUnprocessableEntity)
+	mux.HandleFunc("GET /v1/share", func(w http.ResponseWriter, _ *http.Request) {
+		a, ok := in.Ask()
+		if !ok {
+			http.Error(w, "no budget is drawn from here", http.StatusNotFound)
 			return
 		}
-		w.WriteHeader(http.StatusAccepted)
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(a)
 	})
+	takes(mux, "POST /v1/share", b, in.Answer)
+	takes(mux, "POST /v1/level", b, in.Pin)
 	server := &http.Server{
 		Handler: mux, ReadHeaderTimeout: b.Call, ReadTimeout: b.Call, WriteTimeout: b.Call, IdleTimeout: b.Idle,
 		MaxHeaderBytes: b.Message,
@@ -119,6 +126,22 @@
 	return nil
 }
 
+// takes hands what comes at a path on, and answers with what was wrong with it.
+func takes[T any](mux *http.ServeMux, at string, b limit.Control, take func(T) error) {
+	mux.HandleFunc(at, func(w http.ResponseWriter, r *http.Request) {
+		var v T
+		err := json.NewDecoder(io.LimitReader(r.Body, int64(b.Message))).Decode(&v)
+		if err == nil {
+			err = take(v)
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusUnprocessableEntity)
+			return
+		}
+		w.WriteHeader(http.StatusAccepted)
+	})
+}
+
 // Listen opens a Unix socket for this user alone, over what a process that was killed left there.
 func Listen(path string) (net.Listener, error) {
 	if c, err := net.Dial("unix", path); err == nil {
@@ -164,5 +187,15 @@
 	return talk.Call(ctx, p.client, http.MethodPost, "/v1/level", pin, nil, 0)
 }
 
+// Ask has the instance say what it would have of the fleet's budgets. A lease counts from the moment it says so.
+func (p *Peer) Ask(ctx context.Context) (a share.Ask, err error) {
+	return a, talk.Call(ctx, p.client, http.MethodGet, "/v1/share", nil, &a, int64(p.bounds.Message))
+}
+
+// Answer tells the instance what it has.
+func (p *Peer) Answer(ctx context.Context, a share.Answer) error {
+	return talk.Call(ctx, p.client, http.MethodPost, "/v1/share", a, nil, 0)
+}
+
 // Close lets go of kept connections.
 func (p *Peer) Close() { p.client.CloseIdleConnections() }
--- a/lab/experiment.go
+++ b/lab/experiment.go
@@ -182,6 +182,7 @@
 		way := model.Balance(slices.Index([]string{"round-robin", "random", "two-choices", "least-load"}, b))
 		p.Balance = &way
 	}
+	p.Shares = model.SharesNamed(f.OneOf("shares", model.SharesNames()...))
 	f.Done()
 	return p
 }
--- /dev/null
+++ b/manage/budget/budget_test.go
@@ -0,0 +1,333 @@
+package budget
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"milletbarrow/serve/share"
+)
+
+func rate(whole int64, names int, floor int64, divide Divide) Terms {
+	b := Budget{Name: "b", Kind: Rate, Whole: whole, Floors: map[string]int64{}, Divide: divide, Step: 1, Lease: 1_000_000, Margin: 50_000, Tenant: "t"}
+	for i := range names {
+		b.Floors[fmt.Sprint("n", i)] = floor
+	}
+	return Terms{Version: 1, Budgets: []Budget{b}}
+}
+
+// fleet is a small world: holders with clocks of their own, a ledger with a leader's clerk, and messages on their way.
+type fleet struct {
+	t       *rapid.T
+	now     int64 // true time
+	ledger  *Ledger
+	clerk   *Clerk
+	clock   int64 // the leader's runs faster by so many in a thousand
+	holders []*holder
+	asks    []flying[share.Ask]
+	answers []flying[share.Answer]
+	wholes  []int64 // by true time from which it holds
+	from    []int64
+}
+
+type holder struct {
+	*share.Holder
+	name, host string
+	life       int
+	ppm        int64
+	gone       bool
+}
+
+type flying[T any] struct {
+	at   int64
+	host string
+	msg  T
+}
+
+func (h *holder) clock(now int64) share.Micros { return share.Micros(now + now/1000*h.ppm/1000) }
+
+func (f *fleet) leader() share.Micros { return share.Micros(f.now + f.now/1000*f.clock) }
+
+func (f *fleet) apply(c Command) Result {
+	c.Hold = f.clerk.Hold(f.leader())
+	r := f.ledger.Apply(c)
+	return r
+}
+
+// check is the judge: it asks the holders alone.
+func (f *fleet) check() {
+	sum := int64(0)
+	floors := map[string]int64{}
+	for _, h := range f.holders {
+		if h.gone {
+			continue
+		}
+		for _, v := range h.Views(h.clock(f.now)) {
+			sum += v.Extra
+			floors[h.name] += v.Floor
+		}
+	}
+	for _, fl := range floors {
+		sum += fl
+	}
+	limit := f.wholes[len(f.wholes)-1]
+	for i := len(f.wholes) - 2; i >= 0 && f.now-f.from[i+1] < 4_000_000; i-- {
+		limit = max(limit, f.wholes[i]) // a lower whole is reached once the leases of before are over
+	}
+	if sum > limit {
+		f.t.Fatalf("at %d shares in force add up to %d, the whole is %d", f.now, sum, limit)
+	}
+	// The ledger's own counts must be those of its grants.
+	was := *f.ledger.sums["b"]
+	f.ledger.count("b")
+	if now := *f.ledger.sums["b"]; now.inForce != was.inForce || now.floors != was.floors || now.extras != was.extras {
+		f.t.Fatalf("sums went astray: %+v, counted anew %+v", was, now)
+	}
+}
+
+func TestNeverMoreThanTheWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := rapid.IntRange(1, 6).Draw(t, "names")
+		floor := int64(rapid.IntRange(0, 4).Draw(t, "floor"))
+		whole := max(1, floor*int64(names)) + int64(rapid.IntRange(0, 60).Draw(t, "pool"))
+		divide := rapid.SampledFrom([]Divide{Even, Capacity, Demand}).Draw(t, "divide")
+		terms := rate(whole, names, floor, divide)
+		f := &fleet{t: t, now: 1_000_000_000, ledger: NewLedger(), clerk: &Clerk{}, clock: int64(rapid.IntRange(0, 4).Draw(t, "leader clock")), wholes: []int64{whole}, from: []int64{0}}
+		f.ledger.Apply(Command{Terms: &terms})
+		f.clerk.Elected(f.leader(), f.ledger, false)
+		start := func(i int) *holder {
+			h := &holder{name: fmt.Sprint("n", i), host: fmt.Sprint("h", i%3), life: len(f.holders), ppm: int64(rapid.IntRange(-4000, 4000).Draw(t, "ppm"))}
+			h.Holder = share.New(h.name, fmt.Sprint(h.life), []string{"b"})
+			f.holders = append(f.holders, h)
+			return h
+		}
+		for i := range names {
+			start(i)
+		}
+		one := func() *holder { return f.holders[rapid.IntRange(0, len(f.holders)-1).Draw(t, "holder")] }
+		// Answers are those of asks; an ask that is delivered twice is answered twice.
+		deliver := func(i int, twice bool) {
+			q := f.asks[i]
+			if !twice {
+				f.asks = slices.Delete(f.asks, i, i+1)
+			}
+			r := f.apply(Command{Renew: &Renew{Host: q.host, Asks: []share.Ask{q.msg}}})
+			for _, a := range r.Answers {
+				f.answers = append(f.answers, flying[share.Answer]{msg: a})
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"ask": func(t *rapid.T) {
+				if h := one(); !h.gone && len(f.asks) < 8 {
+					f.asks = append(f.asks, flying[share.Ask]{host: h.host, msg: h.Ask(h.clock(f.now))})
+				}
+			},
+			"round": func(t *rapid.T) { // all of one host ask and are answered at once
+				for _, h := range f.holders {
+					if !h.gone {
+						f.asks = append(f.asks, flying[share.Ask]{host: h.host, msg: h.Ask(h.clock(f.now))})
+						deliver(len(f.asks)-1, false)
+						h.Answer(h.clock(f.now), f.answers[len(f.answers)-1].msg)
+					}
+				}
+			},
+			"deliver": func(t *rapid.T) {
+				if n := len(f.asks); n > 0 {
+					deliver(rapid.IntRange(0, n-1).Draw(t, "ask"), rapid.Bool().Draw(t, "again later"))
+				}
+			},
+			"answer": func(t *rapid.T) {
+				if n := len(f.answers); n > 0 {
+					a := f.answers[rapid.IntRange(max(0, n-12), n-1).Draw(t, "answer")].msg
+					for _, h := range f.holders {
+						if !h.gone {
+							h.Answer(h.clock(f.now), a)
+						}
+					}
+				}
+			},
+			"lose": func(t *rapid.T) { f.asks = f.asks[:0] },
+			"draw": func(t *rapid.T) {
+				if h := one(); !h.gone {
+					for range rapid.IntRange(1, 50).Draw(t, "draws") {
+						h.Draw(h.clock(f.now), 0)
+					}
+				}
+			},
+			"time":    func(t *rapid.T) { f.now += int64(rapid.IntRange(1, 400_000).Draw(t, "us")) },
+			"a lease": func(t *rapid.T) { f.now += 1_000_000 },
+			"elected": func(t *rapid.T) { f.clerk.Elected(f.leader(), f.ledger, false) },
+			"look": func(t *rapid.T) {
+				over, divide := f.clerk.Due(f.leader(), f.ledger)
+				f.apply(Command{Lapse: over, Divide: divide})
+			},
+			"dies": func(t *rapid.T) {
+				if h := one(); !h.gone && len(f.holders) < 20 {
+					h.gone = true
+					if rapid.Bool().Draw(t, "seen") {
+						f.apply(Command{Gone: &Gone{Host: h.host, Lives: []string{Key(h.name, fmt.Sprint(h.life))}}})
+					}
+					n := 0
+					fmt.Sscanf(h.name, "n%d", &n)
+					start(n)
+				}
+			},
+			"gone where it never was": func(t *rapid.T) {
+				h := one()
+				f.apply(Command{Gone: &Gone{Host: h.host + "x", Lives: []string{Key(h.name, fmt.Sprint(h.life))}}})
+			},
+			"another whole": func(t *rapid.T) {
+				if len(f.wholes) > 3 {
+					return
+				}
+				next := terms
+				next.Version = uint64(len(f.wholes) + 1)
+				next.Budgets = slices.Clone(terms.Budgets)
+				next.Budgets[0].Whole = max(1, floor*int64(names)) + int64(rapid.IntRange(0, 60).Draw(t, "pool"))
+				f.ledger.Apply(Command{Terms: &next})
+				f.wholes, f.from = append(f.wholes, next.Budgets[0].Whole), append(f.from, f.now)
+				// What is told by the old whole ends with its leases only while the clerk looks.
+				for range 40 {
+					f.now += 100_000
+					over, divide := f.clerk.Due(f.leader(), f.ledger)
+					f.apply(Command{Lapse: over, Divide: divide})
+				}
+			},
+			"": func(t *rapid.T) { f.check() },
+		})
+		// Faults end: everything that is wanted can be drawn again.
+		for range 60 {
+			f.now += 100_000
+			over, divide := f.clerk.Due(f.leader(), f.ledger)
+			f.apply(Command{Lapse: over, Divide: divide})
+			for _, h := range f.holders {
+				if h.gone {
+					f.apply(Command{Gone: &Gone{Host: h.host, Lives: []string{Key(h.name, fmt.Sprint(h.life))}}})
+					continue
+				}
+				r := f.apply(Command{Renew: &Renew{Host: h.host, Asks: []share.Ask{h.Ask(h.clock(f.now))}}})
+				if err := h.Answer(h.clock(f.now), r.Answers[0]); err != nil {
+					t.Fatalf("%s: %v: %s", h.name, err, r.Answers[0].No)
+				}
+			}
+			f.check()
+		}
+		sum := int64(0)
+		for _, h := range f.holders {
+			if !h.gone {
+				v := h.Views(h.clock(f.now))[0]
+				sum += v.Floor + v.Extra
+			}
+		}
+		if whole := f.wholes[len(f.wholes)-1]; sum != whole {
+			t.Fatalf("after faults %d of %d are held", sum, whole)
+		}
+	})
+}
+
+func TestFair(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		pool, step := int64(rapid.IntRange(0, 10_000).Draw(t, "pool")), int64(rapid.IntRange(1, 9).Draw(t, "step"))
+		claims := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Claim {
+			return Claim{Want: int64(rapid.IntRange(-1, 3000).Draw(t, "want")), Weight: int64(rapid.IntRange(1, 5).Draw(t, "weight"))}
+		}), 1, 12).Draw(t, "claims")
+		parts := Fair(pool, step, claims)
+		sum, wanted := int64(0), int64(0)
+		for i, p := range parts {
+			if sum += p; p < 0 || p%step != 0 {
+				t.Fatalf("part %d of step %d", p, step)
+			}
+			w := claims[i].Want
+			if w < 0 {
+				w = pool
+			}
+			wanted += (w + step - 1) / step * step
+		}
+		if whole := pool / step * step; sum != whole {
+			t.Fatalf("parts add up to %d of %d", sum, whole)
+		}
+		// Max-min: who lacks has no less, by weight, than anybody who has more than it needs for itself, but for a step.
+		if wanted > pool {
+			for i, a := range claims {
+				for j, b := range claims {
+					lacks := a.Want < 0 || parts[i] < a.Want
+					if lacks && (parts[i]+step)*b.Weight < (parts[j]-step)*a.Weight {
+						t.Fatalf("%+v has %d and lacks, %+v has %d", a, parts[i], b, parts[j])
+					}
+				}
+			}
+		}
+	})
+}
+
+// TestLateCalls has calls come twice, the second much later.
+func TestLateCalls(t *testing.T) {
+	l := NewLedger()
+	terms := rate(10, 2, 1, Even)
+	terms.Budgets = append(terms.Budgets, Budget{Name: "out", Kind: Count, Whole: 1})
+	l.Apply(Command{Terms: &terms})
+	take := Command{Take: &Take{Budget: "out", Name: "n0", Host: "h", Turn: "w1"}}
+	if r := l.Apply(take); r.No != "" {
+		t.Fatal(r.No)
+	}
+	if r := l.Apply(Command{Take: &Take{Budget: "out", Name: "n1", Host: "h", Turn: "w1"}}); r.No == "" {
+		t.Fatal("two hold one unit")
+	}
+	l.Apply(Command{Give: &Give{Budget: "out", Name: "n0", Host: "h", Turn: "w1"}})
+	if r := l.Apply(take); r.No == "" {
+		t.Fatal("a take that came twice holds again what was given back")
+	}
+	l.Apply(Command{Take: &Take{Budget: "out", Name: "n0", Host: "h", Turn: "w2"}})
+	l.Apply(Command{Give: &Give{Budget: "out", Name: "n0", Host: "h", Turn: "w1"}})
+	if n := len(l.Counts["out"]); n != 1 {
+		t.Fatalf("a give of an earlier turn ended a later one: %d held", n)
+	}
+	ask := share.Ask{Name: "n0", Life: "a", Number: 2, Clock: 5, Known: []share.Known{{Budget: "b"}}}
+	l.Apply(Command{Renew: &Renew{Host: "h", Asks: []share.Ask{ask}}})
+	if a := l.Apply(Command{Renew: &Renew{Host: "h", Asks: []share.Ask{ask}}}).Answers[0]; a.No == "" || a.Parts != nil {
+		t.Fatalf("the same ask was answered twice: %+v", a)
+	}
+	other := share.Ask{Name: "n0", Life: "b", Number: 1, Known: []share.Known{{Budget: "b"}}}
+	if a := l.Apply(Command{Renew: &Renew{Host: "h2", Asks: []share.Ask{other}}}).Answers[0]; a.No == "" {
+		t.Fatalf("two processes have the floor of one name: %+v", a)
+	}
+	l.Apply(Command{Off: &Off{Name: "n0", By: "test"}})
+	if a := l.Apply(Command{Renew: &Renew{Host: "h2", Asks: []share.Ask{other}}}).Answers[0]; a.No != "" {
+		t.Fatalf("written off and still not given: %s", a.No)
+	}
+}
+
+// TestSetBack has a holder know more than the ledger.
+func TestSetBack(t *testing.T) {
+	l, c := NewLedger(), &Clerk{}
+	terms := rate(10, 2, 0, Even)
+	l.Apply(Command{Terms: &terms})
+	c.Elected(1, l, false)
+	c.Due(2, l)
+	r := l.Apply(Command{Renew: &Renew{Host: "h", Asks: []share.Ask{{Name: "n0", Life: "a", Number: 9, Known: []share.Known{{Budget: "b", Epoch: 900}}}}}})
+	if r.Answers[0].No == "" || l.Serial <= 900 {
+		t.Fatalf("%+v, serial %d", r.Answers[0], l.Serial)
+	}
+	c.Due(3, l)
+	if !c.Hold(4) || !c.Hold(1_000_000) || c.Hold(1_050_004) {
+		t.Fatal("a ledger that was set back must wait out what it may have granted")
+	}
+}
+
+func BenchmarkDivide(b *testing.B) {
+	for _, n := range []int{60, 1000, 10_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			l := NewLedger()
+			terms := rate(int64(n)*10, n, 1, Demand)
+			l.Apply(Command{Terms: &terms})
+			for i := range n {
+				l.Apply(Command{Renew: &Renew{Host: "h", Asks: []share.Ask{{Name: fmt.Sprint("n", i), Life: "a", Number: 1, Known: []share.Known{{Budget: "b", Drawn: int64(i)}}}}}})
+			}
+			for b.Loop() {
+				l.Apply(Command{Divide: true})
+			}
+		})
+	}
+}
--- /dev/null
+++ b/manage/join/join.go
@@ -0,0 +1,130 @@
+// Package join is one agent's part in what the agents of a fleet keep together: it opens the listener, the ledger and the
+// list of members, and ends them together. It decides nothing.
+package join
+
+import (
+	"context"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"milletbarrow/fleet"
+	"milletbarrow/limit"
+	"milletbarrow/manage/budget"
+	"milletbarrow/manage/ledger"
+	"milletbarrow/manage/member"
+	"milletbarrow/manage/peer"
+	"milletbarrow/proc"
+)
+
+// Options are what it is opened with.
+type Options struct {
+	Spec   *fleet.Spec // with budgets
+	Host   string
+	Dir    string // the agent's own
+	Trust  bool   // an operator says that the directory is no older copy
+	Bounds limit.Control
+}
+
+// Joined is an agent's part.
+type Joined struct {
+	*ledger.Node
+	o     Options
+	net   *peer.Net
+	list  *member.List
+	notes chan budget.Note
+
+	mu    sync.Mutex
+	quiet map[string]time.Time // by budget and event: when one was last told
+}
+
+// quietFor is between two notes of the same kind: a division moves with every count of demand.
+const quietFor = 2 * time.Second
+
+func addresses(s *fleet.Spec) (to map[string]string, hosts []string) {
+	to = map[string]string{}
+	for _, h := range s.Hosts {
+		to[h.Name] = h.Peer
+		hosts = append(hosts, h.Name)
+	}
+	return to, hosts
+}
+
+// Open opens the listener and the files.
+func Open(o Options) (*Joined, error) {
+	j := &Joined{o: o, notes: make(chan budget.Note, 256), quiet: map[string]time.Time{}}
+	to, hosts := addresses(o.Spec)
+	listen := o.Spec.Host(o.Host).Peer
+	if listen == "" {
+		listen = "127.0.0.1:0" // alone: nobody speaks to it
+	}
+	var err error
+	if j.net, err = peer.Listen(o.Host, listen, to, o.Bounds); err != nil {
+		return nil, err
+	}
+	j.Node, err = ledger.Open(ledger.Options{
+		Host: o.Host, Members: o.Spec.Ledger, Dir: filepath.Join(o.Dir, "ledger"), Trust: o.Trust, Net: j.net, Bounds: o.Bounds,
+		Clock: func() budget.Micros { return budget.Micros(proc.Now()) }, Note: j.note,
+	})
+	if err != nil {
+		return nil, err
+	}
+	j.Node.Use(o.Spec.Budgets, o.Spec.Ledger)
+	j.list, err = member.Start(member.Options{
+		Host: o.Host, Incarnation: uint64(time.Now().UnixMicro()), Hosts: hosts, Net: j.net, Bounds: o.Bounds, Clock: proc.Now,
+		Changed: func(s member.Seen) { j.note(budget.Note{Name: s.Host, Event: "agent " + string(s.State)}) },
+	})
+	return j, err
+}
+
+// Run takes part until ctx ends.
+func (j *Joined) Run(ctx context.Context) error {
+	mux := http.NewServeMux()
+	j.Node.Handle(mux)
+	server := &http.Server{
+		Handler: mux, ReadHeaderTimeout: j.o.Bounds.Call, ReadTimeout: 2 * j.o.Bounds.Call, WriteTimeout: 4 * j.o.Bounds.Call,
+		IdleTimeout: j.o.Bounds.Idle, MaxHeaderBytes: j.o.Bounds.Message,
+	}
+	stop := context.AfterFunc(ctx, func() { server.Close() })
+	defer stop()
+	var all sync.WaitGroup
+	defer all.Wait()
+	all.Go(func() { j.net.Run(ctx) })
+	all.Go(func() { j.list.Run(ctx) })
+	all.Go(func() { server.Serve(j.net.Listener(peer.Call)) })
+	return j.Node.Run(ctx)
+}
+
+// Move takes the addresses of another file.
+func (j *Joined) Move(s *fleet.Spec) {
+	to, _ := addresses(s)
+	j.net.Move(to)
+}
+
+// Members as this agent judges them.
+func (j *Joined) Members() []member.Seen { return j.list.View() }
+
+// Notes for the history.
+func (j *Joined) Notes() <-chan budget.Note { return j.notes }
+
+func (j *Joined) note(n budget.Note) {
+	j.mu.Lock()
+	key := n.Budget + " " + n.Name + " " + n.Event
+	now := time.Now()
+	if len(j.quiet) > 10_000 {
+		clear(j.quiet)
+	}
+	told := now.Sub(j.quiet[key]) < quietFor
+	if !told {
+		j.quiet[key] = now
+	}
+	j.mu.Unlock()
+	if told {
+		return
+	}
+	select {
+	case j.notes <- n:
+	default: // a history that is not read holds up nobody
+	}
+}
--- /dev/null
+++ b/manage/ledger/ledger_test.go
@@ -0,0 +1,403 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"milletbarrow/limit"
+	"milletbarrow/manage/budget"
+	"milletbarrow/manage/peer"
+	"milletbarrow/proc"
+	"milletbarrow/trial/link"
+)
+
+// group is some nodes in this process, with links between them.
+type group struct {
+	t     testing.TB
+	dir   string
+	names []string
+	at    map[string]string
+	ways  map[[2]string]*link.Way
+	links map[[2]string]*link.Link
+	terms *budget.Terms
+	asked []string
+
+	mu    sync.Mutex
+	nodes map[string]*Node
+	ends  map[string]func()
+}
+
+func newGroup(t testing.TB, n int) *group {
+	g := &group{t: t, dir: t.TempDir(), at: map[string]string{}, ways: map[[2]string]*link.Way{}, links: map[[2]string]*link.Link{}, nodes: map[string]*Node{}, ends: map[string]func(){}}
+	g.terms = &budget.Terms{Version: 1, Budgets: []budget.Budget{{Name: "out", Kind: budget.Count, Whole: 2}}}
+	for i := range n {
+		name := fmt.Sprint("h", i+1)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		g.names, g.at[name] = append(g.names, name), l.Addr().String()
+	}
+	for _, a := range g.names {
+		for _, b := range g.names {
+			g.ways[[2]string{a, b}] = link.NewWay()
+		}
+	}
+	for _, a := range g.names {
+		for _, b := range g.names {
+			if a == b {
+				continue
+			}
+			k, err := link.Open(g.at[b], g.ways[[2]string{a, b}], g.ways[[2]string{b, a}])
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(k.Close)
+			g.links[[2]string{a, b}] = k
+		}
+	}
+	g.asked = g.names
+	return g
+}
+
+func (g *group) start(name string) {
+	to := map[string]string{}
+	for _, b := range g.names {
+		if b != name {
+			to[b] = g.links[[2]string{name, b}].Address
+		}
+	}
+	var n *peer.Net
+	var err error
+	for range 50 { // its address may take a moment to be free again
+		if n, err = peer.Listen(name, g.at[name], to, limit.ForControl()); err == nil {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if err != nil {
+		g.t.Error(err)
+		return
+	}
+	node, err := Open(Options{
+		Host: name, Members: g.asked, Dir: filepath.Join(g.dir, name), Net: n, Bounds: limit.ForControl(),
+		Clock: func() budget.Micros { return budget.Micros(proc.Now()) },
+	})
+	if err != nil {
+		g.t.Error(err)
+		return
+	}
+	node.Use(g.terms, g.asked)
+	ctx, cancel := context.WithCancel(context.Background())
+	mux := http.NewServeMux()
+	node.Handle(mux)
+	server := &http.Server{Handler: mux}
+	var all sync.WaitGroup
+	all.Go(func() { n.Run(ctx) })
+	all.Go(func() { server.Serve(n.Listener(peer.Call)) })
+	all.Go(func() { node.Run(ctx) })
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.nodes[name] = node
+	g.ends[name] = func() {
+		cancel()
+		server.Close()
+		all.Wait()
+	}
+}
+
+func (g *group) stop(name string) {
+	g.mu.Lock()
+	end := g.ends[name]
+	delete(g.ends, name)
+	delete(g.nodes, name)
+	g.mu.Unlock()
+	if end != nil {
+		end()
+	}
+}
+
+func (g *group) stopAll() {
+	for _, n := range slices.Sorted(maps.Keys(g.at)) {
+		g.stop(n)
+	}
+}
+
+func (g *group) node(name string) *Node {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.nodes[name]
+}
+
+func (g *group) view(within time.Duration, ok func(budget.View) bool) (v budget.View) {
+	g.t.Helper()
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for _, name := range g.names {
+			if n := g.node(name); n != nil {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				seen, err := n.View(ctx)
+				cancel()
+				if err == nil && ok(seen) {
+					return seen
+				}
+			}
+		}
+	}
+	g.t.Fatalf("not within %v", within)
+	return v
+}
+
+func anyLeader(v budget.View) bool { return v.Leader != "" && v.Version > 0 }
+
+// asked is one call, as its client saw it.
+type asked struct {
+	give       bool
+	name, turn string
+}
+
+// came is its answer; unknown where none came.
+type came struct{ held, unknown bool }
+
+// count is the ledger as a client may believe it to be: a count of two, and who holds a unit for which turn.
+var count = porcupine.Model{
+	Init: func() any { return "" },
+	Step: func(state, input, output any) (bool, any) {
+		in, out := input.(asked), output.(came)
+		held := strings.Fields(state.(string))
+		me := in.name + "/" + in.turn
+		i := slices.Index(held, me)
+		if in.give {
+			if i >= 0 {
+				held = slices.Delete(held, i, i+1)
+			}
+			return true, strings.Join(held, " ")
+		}
+		other := slices.ContainsFunc(held, func(h string) bool { return strings.HasPrefix(h, in.name+"/") && h != me })
+		gets := i >= 0 || !other && len(held) < 2
+		if gets && i < 0 {
+			held = append(held, me)
+			slices.Sort(held)
+		}
+		return out.unknown || out.held == gets, strings.Join(held, " ")
+	},
+}
+
+// TestHistory has clients take and give units through any node while links are cut, calls come twice and nodes end and
+// begin, and has the history that they saw checked by a program that knows nothing of the ledger.
+func TestHistory(t *testing.T) {
+	const nodes, clients, span = 5, 6, 12 * time.Second
+	g := newGroup(t, nodes)
+	for _, n := range g.names {
+		g.start(n)
+	}
+	defer g.stopAll()
+	g.view(20*time.Second, anyLeader)
+	began := time.Now()
+	var mu sync.Mutex
+	var history []porcupine.Operation
+	var all sync.WaitGroup
+	for c := range clients {
+		all.Go(func() {
+			draw := rand.New(rand.NewPCG(uint64(c), 5))
+			name := fmt.Sprint("n", c)
+			call := func(in asked) came {
+				n := g.node(g.names[draw.IntN(nodes)])
+				if n == nil {
+					return came{unknown: true}
+				}
+				op := porcupine.Operation{ClientId: c, Input: in, Call: int64(time.Since(began))}
+				ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+				defer cancel()
+				turn := &budget.Take{Budget: "out", Name: in.name, Host: "h", Turn: in.turn}
+				cmd := budget.Command{Take: turn}
+				if in.give {
+					cmd = budget.Command{Give: turn}
+				}
+				res, err := n.Do(ctx, cmd)
+				out := came{held: err == nil && res.No == "" && !in.give, unknown: err != nil}
+				op.Output, op.Return = out, int64(time.Since(began))
+				if out.unknown { // it may take effect at any later time, or never
+					op.Return = int64(time.Hour)
+				}
+				mu.Lock()
+				history = append(history, op)
+				mu.Unlock()
+				return out
+			}
+			for turn := 0; time.Since(began) < span; turn++ {
+				word := fmt.Sprint(turn)
+				out := call(asked{name: name, turn: word})
+				for out.unknown && time.Since(began) < span {
+					time.Sleep(time.Duration(draw.IntN(50)) * time.Millisecond)
+					out = call(asked{name: name, turn: word})
+				}
+				if !out.held {
+					time.Sleep(time.Duration(draw.IntN(60)) * time.Millisecond)
+					continue
+				}
+				time.Sleep(time.Duration(draw.IntN(20)) * time.Millisecond)
+				for out = call(asked{true, name, word}); out.unknown && time.Since(began) < span; out = call(asked{true, name, word}) {
+					time.Sleep(time.Duration(draw.IntN(50)) * time.Millisecond)
+				}
+			}
+		})
+	}
+	all.Go(func() {
+		draw := rand.New(rand.NewPCG(7, 7))
+		for i := 0; time.Since(began) < span-2*time.Second; i++ {
+			a, b := g.names[draw.IntN(nodes)], g.names[draw.IntN(nodes)]
+			pause := time.Duration(300+draw.IntN(900)) * time.Millisecond
+			switch k := g.links[[2]string{a, b}]; {
+			case k == nil || i%4 == 3: // a node ends and begins
+				g.stop(a)
+				time.Sleep(pause / 2)
+				g.start(a)
+			case i%4 == 0:
+				g.ways[[2]string{a, b}].Hold(true)
+				time.Sleep(pause)
+				g.ways[[2]string{a, b}].Hold(false)
+			case i%4 == 1:
+				k.Twice(pause)
+				time.Sleep(pause)
+				k.Twice(0)
+			case i%4 == 2: // the leader speaks to nobody, and hears all
+				v := g.view(10*time.Second, anyLeader)
+				for _, other := range g.names {
+					g.ways[[2]string{v.Leader, other}].Hold(true)
+				}
+				time.Sleep(2 * pause)
+				for _, other := range g.names {
+					g.ways[[2]string{v.Leader, other}].Hold(false)
+				}
+			}
+		}
+	})
+	all.Wait()
+	held := 0
+	for _, op := range history {
+		if op.Output.(came).held {
+			held++
+		}
+	}
+	result := porcupine.CheckOperationsTimeout(count, history, time.Minute)
+	t.Logf("%d calls, %d units taken: %v", len(history), held, result)
+	if result != porcupine.Ok || held < 20 {
+		t.Errorf("the history of %d calls with %d units taken is %v", len(history), held, result)
+	}
+}
+
+// TestSetBack starts a member on an older copy of its directory: it may not help to undo what it has forgotten.
+func TestSetBack(t *testing.T) {
+	g := newGroup(t, 3)
+	for _, n := range g.names {
+		g.start(n)
+	}
+	defer g.stopAll()
+	g.view(20*time.Second, anyLeader)
+	take := func(n *Node, turn string) {
+		t.Helper()
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		for {
+			if res, err := n.Do(ctx, budget.Command{Take: &budget.Take{Budget: "out", Name: "n" + turn, Host: "h", Turn: turn}}); err == nil {
+				if res.No != "" {
+					t.Fatal(res.No)
+				}
+				return
+			}
+			if ctx.Err() != nil {
+				t.Fatal(ctx.Err())
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	g.stop("h3")
+	copied := filepath.Join(g.dir, "copy")
+	if err := os.CopyFS(copied, os.DirFS(filepath.Join(g.dir, "h3"))); err != nil {
+		t.Fatal(err)
+	}
+	// h3 comes back and h2 goes: what is taken now is agreed on by h1 and h3.
+	g.start("h3")
+	g.view(15*time.Second, func(v budget.View) bool { return anyLeader(v) && g.node("h3").Stage() != "starting" })
+	time.Sleep(2 * time.Second)
+	g.stop("h2")
+	g.view(15*time.Second, anyLeader)
+	take(g.node("h1"), "1")
+	g.stop("h3")
+	if err := os.RemoveAll(filepath.Join(g.dir, "h3")); err == nil {
+		err = os.CopyFS(filepath.Join(g.dir, "h3"), os.DirFS(copied))
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	g.stop("h1")
+	// h2 never heard of the unit, h3 has forgotten it: together they are half and more, and must not go on alone.
+	g.start("h2")
+	g.start("h3")
+	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for _, n := range []string{"h2", "h3"} {
+			if v, _, ok, err := g.node(n).localView(); ok && err == nil && len(v.Budgets) > 0 && v.Budgets[0].InForce == 0 {
+				t.Fatalf("%s leads a ledger that has forgotten a unit", n)
+			}
+		}
+	}
+	g.start("h1") // who knows comes back, and all go on by themselves
+	if v := g.view(20*time.Second, anyLeader); v.Budgets[0].InForce != 1 {
+		t.Fatalf("the unit is lost: %+v", v)
+	}
+}
+
+// TestGroupChanges takes a group from three to five during a cut, and to other three.
+func TestGroupChanges(t *testing.T) {
+	g := newGroup(t, 5)
+	g.asked = g.names[:3]
+	for _, n := range g.names {
+		g.start(n)
+	}
+	defer g.stopAll()
+	first := g.view(20*time.Second, func(v budget.View) bool { return anyLeader(v) && len(v.Members) == 3 })
+	to := func(version uint64, members ...string) {
+		terms := *g.terms
+		terms.Version = version
+		g.terms, g.asked = &terms, members
+		for _, n := range g.names {
+			node := g.node(n)
+			node.Use(g.terms, members)
+			if slices.Contains(members, n) && node.store == nil { // it had no part, and an agent that is to have one is started anew
+				g.stop(n)
+				g.start(n)
+			}
+		}
+	}
+	cut := func(name string, on bool) {
+		for _, other := range g.names {
+			g.ways[[2]string{name, other}].Hold(on)
+			g.ways[[2]string{other, name}].Hold(on)
+		}
+	}
+	other := g.names[slices.IndexFunc(g.names[:3], func(n string) bool { return n != first.Leader })]
+	cut(other, true)
+	to(2, g.names...)
+	time.Sleep(3 * time.Second)
+	cut(other, false)
+	g.view(30*time.Second, func(v budget.View) bool { return v.Version == 2 && len(v.Members) == 5 })
+	to(3, "h3", "h4", "h5")
+	v := g.view(30*time.Second, func(v budget.View) bool { return v.Version == 3 && len(v.Members) == 3 })
+	if slices.Sort(v.Members); !slices.Equal(v.Members, []string{"h3", "h4", "h5"}) {
+		t.Fatalf("members %v", v.Members)
+	}
+}
--- /dev/null
+++ b/manage/ledger/point_off.go
@@ -0,0 +1,8 @@
+//go:build !plant
+
+package ledger
+
+// point is where a trial's program can be made to die; this one can't.
+func point(string) {}
+
+const plantEarlyAnswer = false
--- /dev/null
+++ b/manage/quorum/quorum.go
@@ -0,0 +1,103 @@
+// Package quorum decides what a member of the ledger's group may do after its process was started, when its directory may
+// be an older copy that has forgotten votes and entries; and how a group is changed, one member at a time. It does no I/O
+// and holds no clock. The agreement itself is the consensus library's.
+//
+// What a member forgot, others know: an entry is committed, and a leader elected, by more than half of the group. So whoever
+// hears from enough of the others that no half can have escaped knows of a term and a log that are at least those that it
+// may have forgotten. Until its own log reaches that far it does not stand for election, and votes only for candidates
+// whose log does; in the term itself it votes for nobody, since it may have voted already.
+package quorum
+
+import (
+	"fmt"
+	"slices"
+)
+
+// Standing is what a member has written down.
+type Standing struct {
+	Term    uint64 `json:"term"`
+	Index   uint64 `json:"index"`    // of the last entry of its log
+	LogTerm uint64 `json:"log_term"` // of that entry
+}
+
+// Empty tells whether it was never part of a group.
+func (s Standing) Empty() bool { return s.Term == 0 && s.Index == 0 }
+
+// behind tells whether a log lacks something that another has.
+func behind(term, index uint64, of Standing) bool {
+	return term < of.LogTerm || term == of.LogTerm && index < of.Index
+}
+
+// needed is how many of the others in a group of n a member has to hear from: one of them was in every half that it was in itself.
+func needed(n int) int { return (n + 1) / 2 }
+
+// Heard is enough to judge from.
+func Heard(n, others int) bool { return n == 1 || others >= needed(n) }
+
+// Fit is what a member may do.
+type Fit struct {
+	Bootstrap bool   // nobody has a log: this is the beginning
+	Term      uint64 // to be taken for its own, with its vote used up; 0: its own will do
+	Log       Standing
+	Behind    bool // its log does not reach Log yet
+}
+
+// Judge says what a member may do, from what it has itself and what enough others told.
+func Judge(own Standing, others []Standing) (f Fit) {
+	f.Bootstrap = own.Empty()
+	for _, o := range others {
+		f.Bootstrap = f.Bootstrap && o.Empty()
+		if o.Term > own.Term {
+			f.Term = max(f.Term, o.Term)
+		}
+		if behind(f.Log.LogTerm, f.Log.Index, o) {
+			f.Log = o
+		}
+	}
+	f.Behind = behind(own.LogTerm, own.Index, f.Log)
+	return f
+}
+
+// Reached tells whether a log is as far as it has to be.
+func (f Fit) Reached(term, index uint64) bool { return !behind(term, index, f.Log) }
+
+// Set tells whether a group's members can be used: one, or three and more. Of two, each alone could do nothing, and
+// both together no more than one.
+func Set(members []string) error {
+	if len(members) == 2 {
+		return fmt.Errorf("a group of two stands still when either is gone: name one, or three")
+	}
+	for i, m := range members {
+		if slices.Contains(members[:i], m) {
+			return fmt.Errorf("%q stands twice", m)
+		}
+	}
+	return nil
+}
+
+// Change is one step from a group to another: Add or Remove is set, or neither where nothing is left to do.
+type Change struct{ Add, Remove string }
+
+// Next is the next step from the members that a group has to those wanted, one at a time: first what is new, so that the
+// group is not smaller in between than it was, and the leader itself last.
+func Next(has, wanted []string, leader string) Change {
+	if len(wanted) == 0 {
+		return Change{}
+	}
+	for _, w := range wanted {
+		if !slices.Contains(has, w) {
+			return Change{Add: w}
+		}
+	}
+	last := Change{}
+	for _, h := range has {
+		if slices.Contains(wanted, h) {
+			continue
+		}
+		if h != leader {
+			return Change{Remove: h}
+		}
+		last.Remove = h
+	}
+	return last
+}
--- a/model/host.go
+++ b/model/host.go
@@ -96,6 +96,7 @@
 		}
 		w.q.push(event{at: w.now + w.s.Hosts.ColdFor/20 + 1, kind: evCold, a: h.number, gen: h.life})
 	}
+	w.beginShares(h)
 	w.decide(h, admit.Opened{})
 	w.q.push(event{at: w.now + w.s.Register.Lag, kind: evListed, a: h.number, b: 1})
 	return nil
@@ -278,6 +279,9 @@
 			}
 		}
 	}
+	if ev.Shed == 0 && len(w.s.Tenants) > 0 {
+		ev.Share = w.drawShare(h, int(a.tenant))
+	}
 	w.decide(h, ev)
 	if h.memory+h.keyKB > w.s.Hosts.MemoryKB {
 		w.audit.broken(w, 4, h, t, "memory ran out")
@@ -695,6 +699,7 @@
 
 // goDown loses everything that a host has in hand.
 func (w *world) goDown(h *host, out Outcome) {
+	w.goneShares(h)
 	w.before(h)
 	h.up = false
 	h.cores.gen++
--- a/model/policy.go
+++ b/model/policy.go
@@ -17,6 +17,7 @@
 	Ladder    *levels.Ladder // levels of reduced service before the module; nil: none
 	Balance   *Balance       // instead of the scenario's
 	Throttles bool           // nodes throttle by themselves
+	Shares    Shares         // where hosts have their part of the tenants' quotas from
 	SeesWork  bool           // hints are the true work: an oracle's
 	About     string
 	Source    string
--- a/model/queue.go
+++ b/model/queue.go
@@ -25,6 +25,8 @@
 	evStop                // the process of host a ends
 	evBack                // host a has a new process
 	evSecond              // the state of the hosts is written down
+	evShare               // a host renews what it holds of the fleet's budgets
+	evClerk               // the ledger's clerk looks
 	evBehind              // the caller of an ask asks anew
 	evCrew                // agent a looks at its hosts
 )
--- a/model/read.go
+++ b/model/read.go
@@ -76,6 +76,7 @@
 func readHosts(f *sexp.Form, h *HostTerms) {
 	const mb = 1024
 	h.Count = f.Int("count", 1, MostHosts, h.Count)
+	h.Told = f.Int("told", 0, MostHosts, h.Told)
 	h.Cores = f.Int("cores", 1, 1024, h.Cores)
 	h.Spread = f.Share("spread", 0, 0.9, h.Spread)
 	h.Crowd = f.Share("crowd", 1, 1000, h.Crowd)
--- a/model/result.go
+++ b/model/result.go
@@ -26,8 +26,10 @@
 	Anew        int     `json:"anew"`
 	Attempts    int     `json:"attempts"`
 	Runs        int     `json:"runs"`
-	Wasted      float64 `json:"wasted_us"` // core time of runs that nobody waited for
-	Shed        int     `json:"shed"`      // by a level
+	Wasted      float64 `json:"wasted_us"`        // core time of runs that nobody waited for
+	Shed        int     `json:"shed"`             // by a level
+	Within      int     `json:"within,omitempty"` // read, and within its tenant's share where shares are told
+	Beyond      int     `json:"beyond,omitempty"`
 	Deaths      int     `json:"deaths"`
 	Lives       int     `json:"lives"`             // of all hosts
 	Refused     int     `json:"refused,omitempty"` // releases that the fleet did not take
--- a/model/scenario.go
+++ b/model/scenario.go
@@ -37,6 +37,7 @@
 // HostTerms describe the backends.
 type HostTerms struct {
 	Count       int
+	Told        int // the fleet's size as hosts are told it; 0: Count
 	Cores       int
 	Spread      float64 // a host's speed lies within 1 more or less this part
 	Crowd       float64 // runs a core that it bears; beyond them all slow down
@@ -298,7 +299,7 @@
 func (s *Scenario) Terms(cold bool) admit.Terms {
 	h := &s.Hosts
 	t := admit.Terms{
-		OverShareValue: 0.3, Fleet: h.Count, Callers: s.Nodes.Count, Cores: h.Cores, MemoryKB: h.MemoryKB, RunFactor: h.RunFactor,
+		OverShareValue: 0.3, Fleet: h.told(), Callers: s.Nodes.Count, Cores: h.Cores, MemoryKB: h.MemoryKB, RunFactor: h.RunFactor,
 		KeyKB: 0.2, JustStarted: cold, AnswerSlack: h.Slack, DrainGrace: h.Grace, ColdShare: h.ColdShare, ColdFor: max(h.ColdFor, 1),
 		FallMultiple: h.Crowd, FallOver: h.FallOver, SharedBelow: true, CallShare: float64(s.Below.Slots) / float64(h.Count),
 		CallsOver: Second, Linger: s.Below.Work, MaxRetryAfter: h.RetryAfter, IdleFor: h.IdleFor,
--- /dev/null
+++ b/model/shares.go
@@ -0,0 +1,184 @@
+package model
+
+import (
+	"fmt"
+
+	"milletbarrow/admit"
+	"milletbarrow/manage/budget"
+	"milletbarrow/serve/share"
+)
+
+// Shares says where a host's part of the tenants' quotas comes from.
+type Shares int
+
+// The ways. Guess is the module's own, by the fleet's size that it was told; the others tell it.
+const (
+	Guess   Shares = iota
+	Divided        // by manage/budget's ledger, unchanged, with leases that hosts hold
+	EvenCut        // an even part of the quota by the size that was told, and not more, whoever is there
+	Whole          // an oracle's: one count for all hosts, seen at once
+)
+
+var sharesNames = []string{"guess", "divided", "even", "whole"}
+
+// SharesNamed finds a way by its name.
+func SharesNamed(name string) Shares { return Shares(index(sharesNames, name)) }
+
+// SharesNames lists them.
+func SharesNames() []string { return sharesNames }
+
+// Terms of the modelled ledger: a lease as installations have it, and a floor that is a part of an even share.
+const (
+	shareLease  = 3 * Second
+	shareMargin = shareLease / 20
+	sharePause  = shareLease / 4
+	floorPart   = 0.2
+)
+
+// sharing is what hosts draw from on a day with shares.
+type sharing struct {
+	mode    Shares
+	budgets []string // by tenant; empty where it has no quota
+	ledger  *budget.Ledger
+	clerk   budget.Clerk
+	holders []*share.Holder // by host
+	whole   *share.Holder   // the oracle's
+	index   []int           // by tenant: its budget in a holder, or -1
+	names   []string
+}
+
+func hostName(n int32) string { return fmt.Sprint("n", n) }
+
+// openShares begins a day's division.
+func (w *world) openShares() {
+	if w.p.Shares == Guess || len(w.s.Tenants) == 0 {
+		return
+	}
+	sh := &sharing{mode: w.p.Shares, holders: make([]*share.Holder, len(w.hosts))}
+	terms := budget.Terms{Version: 1}
+	for i, t := range w.s.Tenants {
+		sh.index = append(sh.index, -1)
+		if t.Quota < 1 {
+			continue
+		}
+		sh.index[i] = len(sh.names)
+		b := budget.Budget{
+			Name: "t" + fmt.Sprint(i), Kind: budget.Rate, Whole: int64(t.Quota), Divide: budget.Demand, Step: 1, Lease: budget.Micros(shareLease),
+			Margin: budget.Micros(shareMargin), Tenant: t.Name, Floors: map[string]int64{},
+		}
+		floor := int64(floorPart * t.Quota / float64(len(w.hosts)))
+		for n := range w.hosts {
+			b.Floors[hostName(int32(n))] = floor
+		}
+		sh.names = append(sh.names, b.Name)
+		terms.Budgets = append(terms.Budgets, b)
+	}
+	w.shares = sh
+	switch sh.mode {
+	case Divided:
+		sh.ledger = budget.NewLedger()
+		sh.ledger.Apply(budget.Command{Terms: &terms})
+		sh.clerk.Elected(budget.Micros(w.now), sh.ledger, false)
+		w.q.push(event{at: w.now + 1, kind: evClerk})
+	case Whole:
+		sh.whole = fixedHolder("all", "1", terms.Budgets, 1)
+	}
+}
+
+// fixedHolder draws from a part of each budget, for good.
+func fixedHolder(name, life string, all []budget.Budget, parts int64) *share.Holder {
+	var names []string
+	for _, b := range all {
+		names = append(names, b.Name)
+	}
+	h := share.New(name, life, names)
+	a := share.Answer{Name: name, Life: life, Number: h.Ask(0).Number}
+	for _, b := range all {
+		a.Parts = append(a.Parts, share.Part{Budget: b.Name, Epoch: 1, Floor: b.Whole / parts})
+	}
+	if err := h.Answer(0, a); err != nil {
+		panic(err) // the terms were checked
+	}
+	return h
+}
+
+// beginShares gives a host's new process its side.
+func (w *world) beginShares(h *host) {
+	sh := w.shares
+	if sh == nil || sh.mode == Whole {
+		return
+	}
+	name, life := hostName(h.number), fmt.Sprint(h.life)
+	if sh.mode == EvenCut {
+		var all []budget.Budget
+		for i, t := range w.s.Tenants {
+			if sh.index[i] >= 0 {
+				all = append(all, budget.Budget{Name: sh.names[sh.index[i]], Whole: int64(t.Quota)})
+			}
+		}
+		sh.holders[h.number] = fixedHolder(name, life, all, int64(w.s.Hosts.told()))
+		return
+	}
+	sh.holders[h.number] = share.New(name, life, sh.names)
+	// Hosts ask spread over the pause, as agents that were started at their own times do.
+	w.q.push(event{at: w.now + 1 + Micros(h.number)*sharePause/Micros(len(w.hosts)), kind: evShare, a: h.number, gen: h.life})
+}
+
+// told is the fleet's size as hosts were told it.
+func (h *HostTerms) told() int {
+	if h.Told > 0 {
+		return h.Told
+	}
+	return h.Count
+}
+
+// askShares renews what a host holds, where the ledger can be reached from it. A call takes a thousandth of a lease, which
+// is left out.
+func (w *world) askShares(h *host) {
+	sh := w.shares
+	if !w.ledgerCut || h.number >= w.cutHosts {
+		holder, now := sh.holders[h.number], share.Micros(w.now)
+		r := sh.ledger.Apply(budget.Command{Renew: &budget.Renew{Host: hostName(h.number), Asks: []share.Ask{holder.Ask(now)}}})
+		if len(r.Answers) > 0 && r.Answers[0].No == "" {
+			holder.Answer(now, r.Answers[0])
+		}
+	}
+	w.q.push(event{at: w.now + sharePause, kind: evShare, a: h.number, gen: h.life})
+}
+
+// clerkLooks has the ledger's clerk look for what is over.
+func (w *world) clerkLooks() {
+	sh := w.shares
+	if over, divide := sh.clerk.Due(budget.Micros(w.now), sh.ledger); divide || len(over) > 0 {
+		sh.ledger.Apply(budget.Command{Lapse: over, Divide: divide})
+	}
+	if w.now < w.s.For {
+		w.q.push(event{at: w.now + sharePause/4, kind: evClerk})
+	}
+}
+
+// goneShares tells the ledger that a process has ended, as the agent of its host would.
+func (w *world) goneShares(h *host) {
+	if sh := w.shares; sh != nil && sh.mode == Divided && (!w.ledgerCut || h.number >= w.cutHosts) {
+		name := hostName(h.number)
+		sh.ledger.Apply(budget.Command{Gone: &budget.Gone{Host: name, Lives: []string{budget.Key(name, fmt.Sprint(h.life))}}})
+	}
+}
+
+// drawShare takes a unit for what a host has just read.
+func (w *world) drawShare(h *host, tenant int) admit.Share {
+	sh := w.shares
+	if sh == nil || sh.index[tenant] < 0 {
+		return admit.NotTold
+	}
+	holder := sh.whole
+	if holder == nil {
+		holder = sh.holders[h.number]
+	}
+	if holder.Draw(share.Micros(w.now), sh.index[tenant]) {
+		w.res.Within++
+		return admit.Within
+	}
+	w.res.Beyond++
+	return admit.Beyond
+}
--- a/model/trouble.go
+++ b/model/trouble.go
@@ -54,7 +54,7 @@
 		for _, k := range w.fate.Perm(len(w.nodes))[:n] {
 			w.cutNodes[int32(k)] = true
 		}
-		w.cutHosts = int32(len(w.hosts)+1) / 2
+		w.cutHosts, w.ledgerCut = int32(len(w.hosts)+1)/2, true
 		over()
 	case AgentGone:
 		w.agentOff = true
@@ -153,6 +153,7 @@
 		}
 	case Cut:
 		clear(w.cutNodes)
+		w.ledgerCut = false
 	case AgentGone:
 		w.agentOff = false
 	case BelowSlow:
--- a/model/world.go
+++ b/model/world.go
@@ -101,16 +101,18 @@
 	below  shared
 	belowX float64 // the dependency is slower by so much
 
-	stream   *Stream // has a chance of its own, so that policies meet the same day
-	coming   Arrival
-	fate     *rand.Rand // of troubles
-	chance   *rand.Rand // of nodes
-	number   uint64
-	agentOff bool
-	cutNodes map[int32]bool
-	cutHosts int32 // hosts below this one are cut off from those nodes
-	grayBy   Micros
-	grayHost map[int32]bool
+	stream    *Stream // has a chance of its own, so that policies meet the same day
+	coming    Arrival
+	fate      *rand.Rand // of troubles
+	chance    *rand.Rand // of nodes
+	number    uint64
+	agentOff  bool
+	cutNodes  map[int32]bool
+	cutHosts  int32    // hosts below this one are cut off from those nodes
+	ledgerCut bool     // and from the ledger
+	shares    *sharing // nil where hosts guess
+	grayBy    Micros
+	grayHost  map[int32]bool
 
 	crews  []*crew   // of a release that the real fleet decides about
 	seen   []float64 // an oracle's sight of the hosts
@@ -157,6 +159,7 @@
 			}
 		}
 	}
+	w.openShares()
 	for i := range w.hosts {
 		h := &w.hosts[i]
 		h.number, h.base, h.slow, h.neighbour = int32(i), 1+s.Hosts.Spread*(2*speeds.Float64()-1), 1, 1
@@ -280,6 +283,12 @@
 		if w.now < w.s.For || w.busyA > 0 {
 			w.q.push(event{at: w.now + Second, kind: evSecond})
 		}
+	case evShare:
+		if h := &w.hosts[e.a]; h.life == e.gen && h.up && w.now < w.s.For {
+			w.askShares(h)
+		}
+	case evClerk:
+		w.clerkLooks()
 	case evCrew:
 		w.crewLooks(e.a)
 	case evBehind:
--- a/operate/operate.go
+++ b/operate/operate.go
@@ -235,7 +235,7 @@
 func (t *Tool) Wave(ctx context.Context, o control.Order, all []*fleet.InstanceSpec, abreast int) *Report {
 	hosts, names := t.ByHost(all)
 	r := &Report{ID: o.ID, Kind: o.Kind}
-	if len(hosts) == 1 {
+	if len(hosts) == 1 || o.Budget != "" { // by a budget the agents keep the order among themselves, with or without this tool
 		return t.Do(ctx, o, all, true)
 	}
 	tour := &fleet.Tour{Hosts: hosts, Terms: *o.Terms, Abreast: abreast}
--- /dev/null
+++ b/serve/share/plant_on.go
@@ -0,0 +1,8 @@
+//go:build plant
+
+package share
+
+import "os"
+
+// plants are faults that the proving ground must catch: see docs/budget-design.md.
+var plants = struct{ epoch bool }{os.Getenv("MILLETBARROW_PLANT") == "epoch"}
--- /dev/null
+++ b/serve/share/share.go
@@ -0,0 +1,236 @@
+// Package share is the holder's side of fleet-wide budgets: what part of each whole this process may draw, until
+// when, and whether one more unit may be drawn now. It knows of no agent and no ledger, does no I/O and holds no clock:
+// times come in, on the machine's own clock with sleep counted. Not safe for use by several goroutines; the gate's lock
+// guards it.
+package share
+
+import (
+	"fmt"
+	"slices"
+)
+
+// Micros is a point on the holder's own clock, or a span, in whole microseconds.
+type Micros int64
+
+// Bounds of what is kept, and of what may be drawn ahead.
+const (
+	keptAsks = 8       // asks whose time is remembered; an answer to an older one is refused
+	burst    = 100_000 // microseconds of its rate that a share that rested may draw at once,
+	fewest   = 2       // and so many units at the least: callers come by chance, and of one unit a quarter would be lost
+	million  = 1_000_000
+
+	// Most is the largest whole, floor or extra, in units a second: a year of it still counts exactly.
+	Most = 100_000_000
+	// MostBudgets is how many budgets one holder may draw from.
+	MostBudgets = 64
+)
+
+// Part is what the ledger grants of one budget.
+type Part struct {
+	Budget string `json:"budget"`
+	Epoch  uint64 `json:"epoch"`    // fence: whatever is told by an older one is refused
+	Floor  int64  `json:"floor"`    // units a second, for good
+	Extra  int64  `json:"extra"`    // units a second above the floor, for the lease
+	Lease  Micros `json:"lease_us"` // counted from when it was asked for
+}
+
+// Known is what a holder says of one budget as it asks: what it was told last, and what was drawn since it started.
+type Known struct {
+	Budget string `json:"budget"`
+	Epoch  uint64 `json:"epoch"`
+	Drawn  int64  `json:"drawn"`
+	Denied int64  `json:"denied"`
+}
+
+// Ask is a holder's question. Its number grows with each; a later one makes all earlier ones old.
+type Ask struct {
+	Name   string  `json:"name"`
+	Life   string  `json:"life"` // of the process: another process is another holder
+	Number uint64  `json:"number"`
+	Clock  Micros  `json:"clock_us"` // the holder's own, for rates; nobody else compares it with theirs
+	Known  []Known `json:"known,omitempty"`
+}
+
+// Answer grants what an ask asked for.
+type Answer struct {
+	Name   string `json:"name"`
+	Life   string `json:"life"`
+	Number uint64 `json:"number"` // of the ask that it answers
+	Parts  []Part `json:"parts,omitempty"`
+	No     string `json:"no,omitempty"` // why nothing is granted
+}
+
+// View is one budget as its holder has it.
+type View struct {
+	Budget string `json:"budget"`
+	Epoch  uint64 `json:"epoch"`
+	Floor  int64  `json:"floor"`
+	Extra  int64  `json:"extra"`    // 0 once the lease has run out
+	Until  Micros `json:"until_us"` // of the extra
+	Drawn  int64  `json:"drawn"`
+	Denied int64  `json:"denied"`
+}
+
+type held struct {
+	Part
+	until  Micros
+	tokens int64  // micro-units
+	filled Micros // when tokens were last counted up
+	drawn  int64
+	denied int64
+}
+
+type asked struct {
+	number uint64
+	at     Micros
+}
+
+// Holder is one process's side of all budgets.
+type Holder struct {
+	name, life string
+	budgets    []held
+	asks       []asked // the latest, oldest first
+}
+
+// New makes one that draws from these budgets and has no part of any yet: without a word from the ledger there is no
+// floor either, because nobody can say that no other process of this name has it.
+func New(name, life string, budgets []string) *Holder {
+	h := &Holder{name: name, life: life}
+	for _, b := range budgets {
+		h.budgets = append(h.budgets, held{Part: Part{Budget: b}})
+	}
+	return h
+}
+
+// Index of a budget, for Draw; -1 if there is none of that name.
+func (h *Holder) Index(budget string) int {
+	return slices.IndexFunc(h.budgets, func(b held) bool { return b.Budget == budget })
+}
+
+// Draw takes one unit of a budget, or says that the share does not have it now. One check of the lease and one of the
+// tokens: a process that is stopped between the two and its act draws that one unit too late, and no more.
+func (h *Holder) Draw(now Micros, i int) bool {
+	b := &h.budgets[i]
+	b.fill(now)
+	if b.tokens < million {
+		b.denied++
+		return false
+	}
+	b.tokens -= million
+	b.drawn++
+	return true
+}
+
+// fill counts tokens up to now: at floor and extra while the lease lasts, at the floor alone after it. What the extra
+// left unused is gone with it.
+func (b *held) fill(now Micros) {
+	if now <= b.filled {
+		return
+	}
+	if b.Extra > 0 && now >= b.until {
+		if b.until > b.filled {
+			b.add(b.until, b.Floor+b.Extra)
+		}
+		b.Extra = 0
+		b.tokens = min(b.tokens, room(b.Floor))
+	}
+	b.add(now, b.Floor+b.Extra)
+}
+
+// add lets tokens grow at a rate until a time; more than a full bucket never counts, so nothing overflows.
+func (b *held) add(to Micros, rate int64) {
+	full := room(rate)
+	if span := int64(to - b.filled); rate == 0 || span > full/rate {
+		b.tokens = full
+	} else {
+		b.tokens = min(full, b.tokens+span*rate)
+	}
+	b.filled = to
+}
+
+// room is what a bucket holds: a share of nothing holds nothing.
+func room(rate int64) int64 {
+	if rate == 0 {
+		return 0
+	}
+	return max(fewest*million, rate*burst)
+}
+
+// Ahead is how many units a share of this rate may draw over what its rate allows in any span: a full bucket.
+func Ahead(rate int64) int64 { return (room(rate) + million - 1) / million }
+
+// Ask makes a question. The lease of its answer counts from now on.
+func (h *Holder) Ask(now Micros) Ask {
+	n := uint64(1)
+	if len(h.asks) > 0 {
+		n = h.asks[len(h.asks)-1].number + 1
+	}
+	if h.asks = append(h.asks, asked{n, now}); len(h.asks) > keptAsks {
+		h.asks = slices.Delete(h.asks, 0, 1)
+	}
+	a := Ask{Name: h.name, Life: h.life, Number: n, Clock: now}
+	for i := range h.budgets {
+		b := &h.budgets[i]
+		a.Known = append(a.Known, Known{b.Budget, b.Epoch, b.drawn, b.denied})
+	}
+	return a
+}
+
+// Answer takes in what was granted. An error means that nothing was changed: an answer to another process, to an ask
+// that is forgotten, or by an epoch that is no newer than what is known.
+func (h *Holder) Answer(now Micros, a Answer) error {
+	if a.Name != h.name || a.Life != h.life {
+		return fmt.Errorf("life: the answer is for %s %s, this is %s %s", a.Name, a.Life, h.name, h.life)
+	}
+	began := now
+	at := slices.IndexFunc(h.asks, func(q asked) bool { return q.number == a.Number })
+	switch {
+	case plants.epoch: // taken as if it had been asked for just now
+	case at < 0:
+		return fmt.Errorf("number: %d is none of the latest asks", a.Number)
+	default:
+		began = h.asks[at].at
+	}
+	for _, p := range a.Parts {
+		i := h.Index(p.Budget)
+		switch {
+		case i < 0:
+			return fmt.Errorf("budget: %q is not drawn from here", p.Budget)
+		case !plants.epoch && p.Epoch <= h.budgets[i].Epoch:
+			return fmt.Errorf("epoch: %d of %s is not newer than %d", p.Epoch, p.Budget, h.budgets[i].Epoch)
+		case p.Floor < 0 || p.Floor > Most || p.Extra < 0 || p.Extra > Most || p.Lease < 0:
+			return fmt.Errorf("budget %s: floor %d, extra %d or lease %d is out of bounds", p.Budget, p.Floor, p.Extra, p.Lease)
+		}
+	}
+	for _, p := range a.Parts {
+		b := &h.budgets[h.Index(p.Budget)]
+		b.fill(now)
+		if b.until = began + p.Lease; b.until <= now {
+			p.Extra = 0 // it came after its end
+		}
+		b.Part = p
+		b.filled = now
+		b.tokens = min(b.tokens, room(p.Floor+p.Extra))
+	}
+	return nil
+}
+
+// Drop gives everything back, floors too: nothing is drawn any more. It is told to the ledger after this, not before.
+func (h *Holder) Drop(now Micros) {
+	for i := range h.budgets {
+		b := &h.budgets[i]
+		b.fill(now)
+		b.Floor, b.Extra, b.tokens, b.until = 0, 0, 0, now
+	}
+}
+
+// Views are all budgets as they are now.
+func (h *Holder) Views(now Micros) []View {
+	all := make([]View, len(h.budgets))
+	for i := range h.budgets {
+		b := &h.budgets[i]
+		b.fill(now)
+		all[i] = View{b.Budget, b.Epoch, b.Floor, b.Extra, b.until, b.drawn, b.denied}
+	}
+	return all
+}
--- /dev/null
+++ b/serve/share/share_test.go
@@ -0,0 +1,90 @@
+package share
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestDraw(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		floor, extra := int64(rapid.IntRange(0, 500).Draw(t, "floor")), int64(rapid.IntRange(0, 500).Draw(t, "extra"))
+		lease := Micros(rapid.IntRange(1, 3_000_000).Draw(t, "lease"))
+		h := New("n", "1", []string{"b"})
+		now := Micros(1_000_000)
+		for range 3 {
+			if h.Draw(now, 0) {
+				t.Fatal("drawn before anything was granted")
+			}
+			now += 100_000
+		}
+		a := h.Ask(now)
+		asked := now
+		now += Micros(rapid.IntRange(0, 4_000_000).Draw(t, "answered after"))
+		if err := h.Answer(now, Answer{Name: "n", Life: "1", Number: a.Number, Parts: []Part{{"b", 5, floor, extra, lease}}}); err != nil {
+			t.Fatal(err)
+		}
+		// What is drawn from here never passes what floor and lease allow, a bucket ahead apart.
+		began, drawn := now, int64(0)
+		for range rapid.IntRange(1, 200).Draw(t, "draws") {
+			now += Micros(rapid.IntRange(0, 60_000).Draw(t, "step"))
+			if h.Draw(now, 0) {
+				drawn++
+			}
+			leased := max(0, min(now, asked+lease)-began)
+			most := (int64(now-began)*floor+int64(leased)*extra)/million + Ahead(floor+extra) + 1
+			if drawn > most {
+				t.Fatalf("drew %d, at most %d are allowed", drawn, most)
+			}
+			if v := h.Views(now)[0]; now >= asked+lease && v.Extra != 0 {
+				t.Fatalf("extra in force %d us after its lease", now-asked-lease)
+			}
+		}
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	h := New("n", "1", []string{"b"})
+	first := h.Ask(10)
+	part := func(epoch uint64, extra int64) []Part { return []Part{{"b", epoch, 1, extra, 1000}} }
+	if err := h.Answer(20, Answer{"n", "1", first.Number, part(7, 5), ""}); err != nil {
+		t.Fatal(err)
+	}
+	for name, a := range map[string]Answer{
+		"another life":     {"n", "2", first.Number, part(8, 9), ""},
+		"an older epoch":   {"n", "1", first.Number, part(6, 9), ""},
+		"the same epoch":   {"n", "1", first.Number, part(7, 9), ""},
+		"never asked":      {"n", "1", 99, part(8, 9), ""},
+		"another budget":   {"n", "1", first.Number, []Part{{"c", 8, 1, 9, 1000}}, ""},
+		"below nothing":    {"n", "1", first.Number, []Part{{"b", 8, 1, -9, 1000}}, ""},
+		"more than counts": {"n", "1", first.Number, []Part{{"b", 8, Most + 1, 9, 1000}}, ""},
+	} {
+		if err := h.Answer(30, a); err == nil {
+			t.Errorf("%s was taken", name)
+		}
+	}
+	if v := h.Views(30)[0]; v.Extra != 5 || v.Epoch != 7 {
+		t.Fatalf("changed by what was refused: %+v", v)
+	}
+	for range keptAsks + 1 {
+		h.Ask(40)
+	}
+	if err := h.Answer(50, Answer{"n", "1", first.Number, part(8, 9), ""}); err == nil {
+		t.Error("an answer to a forgotten ask was taken")
+	}
+	if h.Drop(60); h.Draw(2_000_000, 0) {
+		t.Error("drawn after all was given back")
+	}
+}
+
+func BenchmarkDraw(b *testing.B) {
+	h := New("n", "1", []string{"b"})
+	a := h.Ask(1)
+	h.Answer(2, Answer{"n", "1", a.Number, []Part{{"b", 1, 1000, 1000, 1 << 40}}, ""})
+	now := Micros(3)
+	b.ReportAllocs()
+	for b.Loop() {
+		now += 600
+		h.Draw(now, 0)
+	}
+}
--- /dev/null
+++ b/serve/stamps/stamps.go
@@ -0,0 +1,55 @@
+// Package stamps writes down what a holder of shares has and draws, a line each, for an auditor to read. It is off
+// unless asked for. Times are of the machine's clock as it is, also where the holder's own was made to run apart.
+package stamps
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+
+	"milletbarrow/serve/share"
+)
+
+// Stamps is what a process writes. Not safe for use by several goroutines.
+type Stamps struct {
+	to    *bufio.Writer
+	since int64
+	drawn []int64 // by budget, when it was last written down
+}
+
+// New writes to w; every call ends with a whole line there. The first line is "clock TIME PPM": how much faster the
+// holder's own clock was made to run.
+func New(w io.Writer, at int64, ppm int) *Stamps {
+	s := &Stamps{to: bufio.NewWriter(w), since: at}
+	fmt.Fprintf(s.to, "clock %d %d\n", at, ppm)
+	s.to.Flush()
+	return s
+}
+
+// Have writes down what is held now: "have TIME BUDGET EPOCH FLOOR EXTRA LEFT", LEFT being how long the extra lasts on
+// the holder's own clock.
+func (s *Stamps) Have(at int64, now share.Micros, all []share.View) error {
+	for _, v := range all {
+		fmt.Fprintf(s.to, "have %d %s %d %d %d %d\n", at, v.Budget, v.Epoch, v.Floor, v.Extra, max(0, v.Until-now))
+	}
+	return s.to.Flush()
+}
+
+// Drew writes down what was drawn since the last time: "drew FROM TO BUDGET UNITS"; without any, "here TIME".
+func (s *Stamps) Drew(at int64, all []share.View) error {
+	if len(s.drawn) < len(all) {
+		s.drawn = append(s.drawn, make([]int64, len(all)-len(s.drawn))...)
+	}
+	any := false
+	for i, v := range all {
+		if n := v.Drawn - s.drawn[i]; n > 0 {
+			fmt.Fprintf(s.to, "drew %d %d %s %d\n", s.since, at, v.Budget, n)
+			s.drawn[i], any = v.Drawn, true
+		}
+	}
+	if !any {
+		fmt.Fprintf(s.to, "here %d\n", at)
+	}
+	s.since = at
+	return s.to.Flush()
+}
--- /dev/null
+++ b/trial/ground/bring.go
@@ -0,0 +1,281 @@
+package ground
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"milletbarrow/proc"
+	"milletbarrow/trial/audit"
+	"milletbarrow/trial/timetable"
+)
+
+// index of a host by its name, of a backend by its own.
+func index(name string) int {
+	n := 0
+	fmt.Sscanf(name[1:], "%d", &n)
+	return n - 1
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// bring brings one fault about and takes it back.
+func (g *Ground) bring(ctx context.Context, f timetable.Fault) error {
+	switch f.Kind {
+	case timetable.Cut, timetable.CutBoth, timetable.Delay, timetable.Stall, timetable.Slow, timetable.Reset, timetable.Twice:
+		g.between(ctx, f, index(f.A), index(f.B))
+		return nil
+	case timetable.Minority:
+		g.minority(ctx, f)
+		return nil
+	case timetable.Freeze, timetable.Death, timetable.Orphan, timetable.BadStart:
+		return g.backend(ctx, f)
+	case timetable.Whole:
+		return g.whole(ctx, f.Word, f.Number)
+	case timetable.Blackout:
+		return g.blackout(ctx, f.For)
+	case timetable.Leader:
+		s := g.budgets(ctx)
+		if s == nil {
+			return errors.New("nobody leads")
+		}
+		f.A = s.Leader
+	}
+	h := g.hosts[index(f.A)]
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch f.Kind {
+	case timetable.Stop:
+		h.cmd.Process.Signal(syscall.SIGSTOP)
+		wait(ctx, f.For)
+		return h.cmd.Process.Signal(syscall.SIGCONT)
+	case timetable.Full:
+		if err := full(h.cmd.Process.Pid, true); err != nil {
+			return err
+		}
+		wait(ctx, f.For)
+		select {
+		case <-h.ended: // it may end itself; it is started again as an operator would
+			return g.startAgent(h)
+		default:
+			return full(h.cmd.Process.Pid, false)
+		}
+	case timetable.Point:
+		at := filepath.Join(g.site.Dir, "points", h.name)
+		if err := errors.Join(os.MkdirAll(at, 0o700), os.WriteFile(filepath.Join(at, f.Word), nil, 0o600)); err != nil {
+			return err
+		}
+		select {
+		case <-h.ended:
+			g.o.Say("%s died at %q", h.name, f.Word)
+		case <-time.After(max(f.For, 5*time.Second)):
+			os.Remove(filepath.Join(at, f.Word))
+			return fmt.Errorf("%s did not come to %q", h.name, f.Word)
+		}
+		return g.startAgent(h)
+	case timetable.Old:
+		return g.old(ctx, h, f.For)
+	}
+	h.killAgent()
+	wait(ctx, f.For)
+	return g.startAgent(h)
+}
+
+// between brings a fault between two hosts.
+func (g *Ground) between(ctx context.Context, f timetable.Fault, a, b int) {
+	there, back := g.ways[a][b], g.ways[b][a]
+	reset := func() {
+		g.links[a][b].Reset()
+		g.links[b][a].Reset()
+	}
+	switch f.Kind {
+	case timetable.Cut:
+		there.Hold(true)
+		wait(ctx, f.For)
+		reset() // what was lost meanwhile is not brought by a connection that was given up
+		there.Hold(false)
+	case timetable.CutBoth:
+		there.Hold(true)
+		back.Hold(true)
+		wait(ctx, f.For)
+		reset()
+		there.Hold(false)
+		back.Hold(false)
+	case timetable.Stall:
+		there.Hold(true)
+		wait(ctx, f.For)
+		there.Hold(false)
+	case timetable.Delay:
+		there.Delay(f.By)
+		wait(ctx, f.For)
+		there.Delay(0)
+	case timetable.Slow:
+		there.Slow(f.Number)
+		wait(ctx, f.For)
+		there.Slow(0)
+	case timetable.Reset:
+		reset()
+	case timetable.Twice:
+		g.links[a][b].Twice(f.By)
+		wait(ctx, f.For)
+		g.links[a][b].Twice(0)
+		wait(ctx, f.By)
+	}
+}
+
+// minority cuts a host and the next off from all others.
+func (g *Ground) minority(ctx context.Context, f timetable.Fault) {
+	a := index(f.A)
+	few := map[int]bool{a: true, (a + 1) % len(g.hosts): len(g.hosts) > 3}
+	each := func(do func(i, j int)) {
+		for i := range g.hosts {
+			for j := range g.hosts {
+				if i != j && few[i] != few[j] {
+					do(i, j)
+				}
+			}
+		}
+	}
+	each(func(i, j int) { g.ways[i][j].Hold(true) })
+	wait(ctx, f.For)
+	each(func(i, j int) { g.links[i][j].Reset() })
+	each(func(i, j int) { g.ways[i][j].Hold(false) })
+}
+
+// blackout kills all agents at once.
+func (g *Ground) blackout(ctx context.Context, gone time.Duration) error {
+	for _, h := range g.hosts {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+	}
+	for _, h := range g.hosts {
+		h.cmd.Process.Kill()
+	}
+	for _, h := range g.hosts {
+		<-h.ended
+	}
+	wait(ctx, gone)
+	var errs []error
+	for _, h := range g.hosts {
+		errs = append(errs, g.startAgent(h))
+	}
+	return errors.Join(errs...)
+}
+
+// old kills an agent, and starts it on a copy of its ledger that was made some seconds before.
+func (g *Ground) old(ctx context.Context, h *host, after time.Duration) error {
+	at, copied := filepath.Join(h.dir, "ledger"), filepath.Join(g.site.Dir, "copies", fmt.Sprint(h.name, "-", proc.Now()))
+	// The copy is taken of a process that is stopped, so that it is one that a disk could hold.
+	h.cmd.Process.Signal(syscall.SIGSTOP)
+	err := os.CopyFS(copied, os.DirFS(at))
+	h.cmd.Process.Signal(syscall.SIGCONT)
+	if err != nil {
+		return err
+	}
+	wait(ctx, 3*time.Second+after)
+	h.killAgent()
+	if err := errors.Join(os.RemoveAll(at), os.CopyFS(at, os.DirFS(copied))); err != nil {
+		return err
+	}
+	return g.startAgent(h)
+}
+
+// backend brings a fault to one backend's processes, by what its keeper wrote down.
+func (g *Ground) backend(ctx context.Context, f timetable.Fault) error {
+	n := index(f.A)
+	h := g.hosts[n%len(g.hosts)]
+	l := g.life(h, f.A)
+	config := filepath.Join(g.site.Dir, f.A+".json")
+	switch f.Kind {
+	case timetable.Freeze:
+		if err := l.Instance.Signal(syscall.SIGSTOP); err != nil {
+			return err
+		}
+		wait(ctx, f.For)
+		if err := l.Instance.Signal(syscall.SIGCONT); !errors.Is(err, proc.ErrGone) {
+			return err
+		}
+	case timetable.Death:
+		return l.Instance.Signal(syscall.SIGKILL)
+	case timetable.Orphan:
+		return l.Keeper.Signal(syscall.SIGKILL)
+	case timetable.BadStart:
+		if err := os.Rename(config, config+".away"); err != nil {
+			return err
+		}
+		err := l.Instance.Signal(syscall.SIGKILL)
+		wait(ctx, f.For)
+		if errBack := os.Rename(config+".away", config); errBack != nil {
+			return errBack
+		}
+		// Given up by its agent: an operator asks for it again, as often as it takes.
+		errAgain := g.until(ctx, time.Minute, "start of "+f.A, func() bool {
+			_, err := g.Tool(ctx, "start", f.A, "--quiet", "--wait=false", "--within", "30s")
+			return err == nil
+		})
+		return errors.Join(err, errAgain)
+	}
+	return nil
+}
+
+// whole gives a budget another whole, in every host's file.
+func (g *Ground) whole(ctx context.Context, name string, units int) error {
+	g.mu.Lock()
+	_, known := g.wholes[name]
+	floors := 0
+	for _, b := range g.o.Budgets {
+		if b.Name == name {
+			floors = b.Floor * len(g.site.Names)
+		}
+	}
+	if units = max(units, floors+1); !known {
+		g.mu.Unlock()
+		return fmt.Errorf("no budget %q", name)
+	}
+	g.wholes[name] = units
+	g.version++
+	version := g.version
+	last := g.limits[name][len(g.limits[name])-1].Units
+	g.limits[name] = append(g.limits[name], audit.Whole{From: proc.Now(), Units: max(last, int64(units))})
+	err := g.writeFiles()
+	g.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	g.reload()
+	g.lowers.Go(func() { // once the ledger goes by it, what was told before ends with its leases
+		if g.until(ctx, 2*time.Minute, "other whole", func() bool {
+			g.reload() // one that was started or stopped meanwhile may have the file of before
+			s := g.budgets(ctx)
+			return s != nil && s.Version >= version
+		}) != nil {
+			return
+		}
+		at := proc.Now() + (g.o.Lease + g.o.Margin + time.Second).Microseconds()
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if g.version == version { // else another whole has come since
+			g.limits[name] = append(g.limits[name], audit.Whole{From: at, Units: int64(units)})
+		}
+	})
+	return nil
+}
+
+// reload has the agents that run read their files.
+func (g *Ground) reload() {
+	for _, h := range g.hosts {
+		if h.mu.TryLock() { // else a fault has it in hand, after which it reads the file anyway
+			h.cmd.Process.Signal(syscall.SIGHUP)
+			h.mu.Unlock()
+		}
+	}
+}
