--- a/cmd/milletbarrow/fleet.go
+++ b/cmd/milletbarrow/fleet.go
@@ -4,8 +4,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
 	"os/user"
+	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -133,6 +136,18 @@
 	return context.WithTimeout(ctx, time.Duration(o.Within)*time.Microsecond+10*time.Second)
 }
 
+// counted puts counts into words, in order.
+func counted(counts map[fleet.Outcome]int) string {
+	var words []string
+	for _, o := range slices.Sorted(maps.Keys(counts)) {
+		words = append(words, fmt.Sprintf("%s %d", o, counts[o]))
+	}
+	if len(words) == 0 {
+		return "no result"
+	}
+	return strings.Join(words, ", ")
+}
+
 // finish prints a report and ends with the code that it stands for.
 func finish(c *cli.Command, r *operate.Report, waited bool) error {
 	if c.Bool("json") {
@@ -155,7 +170,7 @@
 			}
 		}
 		table(rows)
-		fmt.Printf("command %s: %v\n", r.ID, r.Counts)
+		fmt.Printf("command %s: %s\n", r.ID, counted(r.Counts))
 		if r.Why != "" {
 			fmt.Println("stopped:", r.Why)
 		}
--- a/cmd/milletbarrow/trial.go
+++ b/cmd/milletbarrow/trial.go
@@ -52,6 +52,26 @@
 				Flags:       []cli.Flag{keep, plant, &cli.DurationFlag{Name: "within", Value: time.Hour}, &cli.IntFlag{Name: "tries", Value: 2, Usage: "of each, as chance has a part in it"}},
 				Action:      shrinkTrial,
 			},
+			{
+				Name: "measure", Usage: "measure how shares are used as demand moves, hosts are lost and agents die",
+				Description: "Takes some minutes; leave the machine alone meanwhile. Example:\n   milletbarrow trial measure --hosts 5 --backends 20",
+				Flags:       []cli.Flag{jsonFlag(), &cli.IntFlag{Name: "hosts", Value: 5}, &cli.IntFlag{Name: "backends", Value: 20}},
+				Action: func(ctx context.Context, c *cli.Command) error {
+					o, err := trialOptions(c, &timetable.Table{Name: "measure", Hosts: c.Int("hosts"), Backends: c.Int("backends"), Span: time.Minute})
+					if err != nil {
+						return err
+					}
+					m, err := ground.Measure(ctx, o)
+					if err != nil {
+						return err
+					}
+					if c.Bool("json") {
+						return printJSON(m)
+					}
+					m.Print(os.Stdout)
+					return nil
+				},
+			},
 			{
 				Name: "report", Usage: "sum up verdicts that were kept by --out", ArgsUsage: "FILE",
 				Description: "Example:\n   milletbarrow trial report trials.jsonl", Flags: []cli.Flag{jsonFlag()},
--- a/manage/budget/budget_test.go
+++ b/manage/budget/budget_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"fmt"
+	"go/parser"
+	"go/token"
+	"path/filepath"
 	"slices"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -331,3 +335,166 @@
 		})
 	}
 }
+
+// small is a ledger with a leader's clerk and holders that answer at once, for cases that need no chance.
+type small struct {
+	l       *Ledger
+	c       Clerk
+	now     Micros
+	holders map[string]*share.Holder
+	draws   func(name string) int // in a tenth of a second
+}
+
+func newSmall(terms Terms) *small {
+	s := &small{l: NewLedger(), now: 1_000_000, holders: map[string]*share.Holder{}}
+	s.l.Apply(Command{Terms: &terms})
+	s.c.Elected(s.now, s.l, false)
+	return s
+}
+
+func (s *small) join(names ...string) {
+	for _, n := range names {
+		s.holders[n] = share.New(n, "1", []string{"b"})
+	}
+}
+
+// pass lets time go by, with a round of asks in each tenth of a second.
+func (s *small) pass(tenths int) {
+	for range tenths {
+		s.now += 100_000
+		over, divide := s.c.Due(s.now, s.l)
+		s.l.Apply(Command{Lapse: over, Divide: divide})
+		for _, n := range sortedKeys(s.holders) {
+			h := s.holders[n]
+			for range s.draws(n) {
+				h.Draw(s.now, 0)
+			}
+			r := s.l.Apply(Command{Renew: &Renew{Host: "h", Asks: []share.Ask{h.Ask(s.now)}}})
+			h.Answer(s.now, r.Answers[0])
+		}
+	}
+}
+
+func (s *small) held() (sum int64, by map[string]int64) {
+	by = map[string]int64{}
+	for n, h := range s.holders {
+		v := h.Views(s.now)[0]
+		by[n] = v.Floor + v.Extra
+		sum += by[n]
+	}
+	return sum, by
+}
+
+// TestLiar has one holder ask for all that there is, and the others for what they need.
+func TestLiar(t *testing.T) {
+	s := newSmall(rate(100, 5, 1, Demand))
+	s.join("n0", "n1", "n2", "n3", "n4")
+	s.draws = func(name string) int {
+		if name == "n0" {
+			return 5000
+		}
+		return 2 // 20 a second: all five have an even part of 20 then
+	}
+	s.pass(50)
+	sum, by := s.held()
+	for _, n := range []string{"n1", "n2", "n3", "n4"} {
+		if by[n] < 19 {
+			t.Errorf("%s has %d beside one that asks for all, wanted 19 at least: %v", n, by[n], by)
+		}
+	}
+	if sum > 100 {
+		t.Errorf("%d of 100 are held", sum)
+	}
+}
+
+// TestDemandMoves: what one no longer needs is drawn by another soon, and the parts come to rest.
+func TestDemandMoves(t *testing.T) {
+	s := newSmall(rate(200, 2, 1, Demand))
+	s.join("n0", "n1")
+	busy := "n0"
+	s.draws = func(name string) int {
+		if name == busy {
+			return 40
+		}
+		return 0
+	}
+	s.pass(60)
+	if _, by := s.held(); by["n0"] < 180 {
+		t.Errorf("n0 wants all and has %v", by)
+	}
+	busy = "n1"
+	s.pass(30)
+	if _, by := s.held(); by["n1"] < 180 {
+		t.Errorf("three leases after demand moved n1 has %v", by)
+	}
+	_, before := s.held()
+	moved := int64(0)
+	for range 30 {
+		s.pass(1)
+		_, by := s.held()
+		moved += max(by["n1"]-before["n1"], before["n1"]-by["n1"])
+		before = by
+	}
+	if moved > 20 {
+		t.Errorf("%d units moved in three leases of steady demand", moved)
+	}
+}
+
+// TestManyJoin has 200 join and half of them die at once.
+func TestManyJoin(t *testing.T) {
+	s := newSmall(rate(1000, 220, 1, Demand))
+	s.draws = func(string) int { return 1 }
+	s.join("n0", "n1", "n2")
+	s.pass(20)
+	for i := 3; i < 203; i++ {
+		s.join(fmt.Sprint("n", i))
+		if i%3 == 0 {
+			s.pass(1)
+		}
+	}
+	s.pass(20)
+	if sum, _ := s.held(); sum != 1000-17 { // 17 names never came, their floors are set aside
+		t.Errorf("%d of 983 are held by 203", sum)
+	}
+	for i := 3; i < 203; i += 2 {
+		delete(s.holders, fmt.Sprint("n", i))
+	}
+	s.pass(40)
+	if sum, _ := s.held(); sum != 1000-17-100 { // nobody saw them die: their floors stay
+		t.Errorf("%d of 883 are held after half died", sum)
+	}
+	// A whole smaller than the number of backends: some have a unit, the others none.
+	few := newSmall(rate(5, 20, 0, Even))
+	few.draws = func(string) int { return 1 }
+	for i := range 20 {
+		few.join(fmt.Sprint("n", i))
+	}
+	few.pass(30)
+	if sum, _ := few.held(); sum != 5 {
+		t.Errorf("%d of 5 are held by 20", sum)
+	}
+}
+
+// TestNoClock: setting the wall clock can't move what knows of none. What decides here may not import one.
+func TestNoClock(t *testing.T) {
+	for _, dir := range []string{".", "../quorum", "../../serve/share"} {
+		files, err := filepath.Glob(filepath.Join(dir, "*.go"))
+		if err != nil || len(files) == 0 {
+			t.Fatal(dir, err)
+		}
+		for _, file := range files {
+			if strings.HasSuffix(file, "_test.go") {
+				continue
+			}
+			f, err := parser.ParseFile(token.NewFileSet(), file, nil, parser.ImportsOnly)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, i := range f.Imports {
+				if p := i.Path.Value; p == `"time"` || p == `"net"` || p == `"os"` && !strings.HasSuffix(file, "plant_on.go") {
+					t.Errorf("%s imports %s", file, p)
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/manage/ledger/bench_test.go
@@ -0,0 +1,56 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"milletbarrow/manage/budget"
+	"milletbarrow/serve/share"
+)
+
+// BenchmarkRenew is how many renewals a second a group bears, asked through any of its members, each of one host with ten
+// backends, and durable on a majority's disks before it is answered.
+func BenchmarkRenew(b *testing.B) {
+	for _, n := range []int{1, 3, 5} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			g := newGroup(b, n)
+			floors := map[string]int64{}
+			for i := range 5000 {
+				floors[fmt.Sprint("n", i)] = 1
+			}
+			g.terms = &budget.Terms{Version: 1, Budgets: []budget.Budget{{
+				Name: "b", Kind: budget.Rate, Whole: 100_000, Floors: floors, Divide: budget.Demand, Step: 1, Lease: 3_000_000, Margin: 150_000, Tenant: "t",
+			}}}
+			for _, name := range g.names {
+				g.start(name)
+			}
+			defer g.stopAll()
+			g.view(20*time.Second, anyLeader)
+			var host atomic.Int64
+			b.SetParallelism(16)
+			b.ResetTimer()
+			b.RunParallel(func(pb *testing.PB) {
+				me := int(host.Add(1))
+				node := g.node(g.names[me%n])
+				name := fmt.Sprint("h", me)
+				for number := uint64(1); pb.Next(); number++ {
+					c := &budget.Renew{Host: name}
+					for i := range 10 {
+						c.Asks = append(c.Asks, share.Ask{
+							Name: fmt.Sprint("n", me*10+i), Life: "1", Number: number, Clock: share.Micros(number * 1000), Known: []share.Known{{Budget: "b"}},
+						})
+					}
+					ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+					if res, err := node.Do(ctx, budget.Command{Renew: c}); err != nil || len(res.Answers) != 10 {
+						b.Error(err, res.No)
+					}
+					cancel()
+				}
+			})
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "renewals/s")
+		})
+	}
+}
--- a/manage/ledger/ledger_test.go
+++ b/manage/ledger/ledger_test.go
@@ -30,8 +30,7 @@
 	dir   string
 	names []string
 	at    map[string]string
-	ways  map[[2]string]*link.Way
-	links map[[2]string]*link.Link
+	*link.Mesh
 	terms *budget.Terms
 	asked []string
 
@@ -41,50 +40,32 @@
 }
 
 func newGroup(t testing.TB, n int) *group {
-	g := &group{t: t, dir: t.TempDir(), at: map[string]string{}, ways: map[[2]string]*link.Way{}, links: map[[2]string]*link.Link{}, nodes: map[string]*Node{}, ends: map[string]func(){}}
+	g := &group{t: t, dir: t.TempDir(), at: map[string]string{}, nodes: map[string]*Node{}, ends: map[string]func(){}}
 	g.terms = &budget.Terms{Version: 1, Budgets: []budget.Budget{{Name: "out", Kind: budget.Count, Whole: 2}}}
+	var at []string
 	for i := range n {
 		name := fmt.Sprint("h", i+1)
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.27.%d:0", i+1)) // where no call begins, so that it stays free
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer l.Close()
-		g.names, g.at[name] = append(g.names, name), l.Addr().String()
+		g.names, g.at[name], at = append(g.names, name), l.Addr().String(), append(at, l.Addr().String())
 	}
-	for _, a := range g.names {
-		for _, b := range g.names {
-			g.ways[[2]string{a, b}] = link.NewWay()
-		}
-	}
-	for _, a := range g.names {
-		for _, b := range g.names {
-			if a == b {
-				continue
-			}
-			k, err := link.Open(g.at[b], g.ways[[2]string{a, b}], g.ways[[2]string{b, a}])
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(k.Close)
-			g.links[[2]string{a, b}] = k
-		}
+	var err error
+	if g.Mesh, err = link.NewMesh(g.names, at); err != nil {
+		t.Fatal(err)
 	}
+	t.Cleanup(g.Mesh.Close)
 	g.asked = g.names
 	return g
 }
 
 func (g *group) start(name string) {
-	to := map[string]string{}
-	for _, b := range g.names {
-		if b != name {
-			to[b] = g.links[[2]string{name, b}].Address
-		}
-	}
 	var n *peer.Net
 	var err error
 	for range 50 { // its address may take a moment to be free again
-		if n, err = peer.Listen(name, g.at[name], to, limit.ForControl()); err == nil {
+		if n, err = peer.Listen(name, g.at[name], g.To(name), limit.ForControl()); err == nil {
 			break
 		}
 		time.Sleep(20 * time.Millisecond)
@@ -214,44 +195,53 @@
 		all.Go(func() {
 			draw := rand.New(rand.NewPCG(uint64(c), 5))
 			name := fmt.Sprint("n", c)
-			call := func(in asked) came {
-				n := g.node(g.names[draw.IntN(nodes)])
-				if n == nil {
-					return came{unknown: true}
-				}
-				op := porcupine.Operation{ClientId: c, Input: in, Call: int64(time.Since(began))}
-				ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
-				defer cancel()
-				turn := &budget.Take{Budget: "out", Name: in.name, Host: "h", Turn: in.turn}
-				cmd := budget.Command{Take: turn}
-				if in.give {
-					cmd = budget.Command{Give: turn}
+			// until asks again, by the same turn, until it is known what came of it. Calls without an answer are one with the
+			// call that brought it: they are the same to the ledger, and which of them took effect is not seen.
+			until := func(in asked) bool {
+				first := int64(-1)
+				for time.Since(began) < span {
+					n := g.node(g.names[draw.IntN(nodes)])
+					if n == nil {
+						continue
+					}
+					op := porcupine.Operation{ClientId: c, Input: in, Call: int64(time.Since(began))}
+					ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+					turn := &budget.Take{Budget: "out", Name: in.name, Host: "h", Turn: in.turn}
+					cmd := budget.Command{Take: turn}
+					if in.give {
+						cmd = budget.Command{Give: turn}
+					}
+					res, err := n.Do(ctx, cmd)
+					cancel()
+					op.Output, op.Return = came{held: res.No == "" && !in.give}, int64(time.Since(began))
+					done := err == nil && (in.give || res.No == "")
+					switch {
+					case err != nil && first < 0:
+						first = op.Call
+					case done && first >= 0:
+						op.Call = first
+					}
+					if done || err == nil && first < 0 {
+						mu.Lock()
+						history = append(history, op)
+						mu.Unlock()
+					}
+					if done {
+						return true
+					}
+					time.Sleep(time.Duration(draw.IntN(60)) * time.Millisecond)
 				}
-				res, err := n.Do(ctx, cmd)
-				out := came{held: err == nil && res.No == "" && !in.give, unknown: err != nil}
-				op.Output, op.Return = out, int64(time.Since(began))
-				if out.unknown { // it may take effect at any later time, or never
-					op.Return = int64(time.Hour)
+				if first >= 0 { // it may take effect at any later time, or never
+					mu.Lock()
+					history = append(history, porcupine.Operation{ClientId: c, Input: in, Call: first, Output: came{unknown: true}, Return: int64(time.Hour)})
+					mu.Unlock()
 				}
-				mu.Lock()
-				history = append(history, op)
-				mu.Unlock()
-				return out
+				return false
 			}
-			for turn := 0; time.Since(began) < span; turn++ {
-				word := fmt.Sprint(turn)
-				out := call(asked{name: name, turn: word})
-				for out.unknown && time.Since(began) < span {
-					time.Sleep(time.Duration(draw.IntN(50)) * time.Millisecond)
-					out = call(asked{name: name, turn: word})
-				}
-				if !out.held {
-					time.Sleep(time.Duration(draw.IntN(60)) * time.Millisecond)
-					continue
-				}
+			for turn := 0; until(asked{name: name, turn: fmt.Sprint(turn)}); turn++ {
 				time.Sleep(time.Duration(draw.IntN(20)) * time.Millisecond)
-				for out = call(asked{true, name, word}); out.unknown && time.Since(began) < span; out = call(asked{true, name, word}) {
-					time.Sleep(time.Duration(draw.IntN(50)) * time.Millisecond)
+				if !until(asked{true, name, fmt.Sprint(turn)}) {
+					return
 				}
 			}
 		})
@@ -261,28 +251,24 @@
 		for i := 0; time.Since(began) < span-2*time.Second; i++ {
 			a, b := g.names[draw.IntN(nodes)], g.names[draw.IntN(nodes)]
 			pause := time.Duration(300+draw.IntN(900)) * time.Millisecond
-			switch k := g.links[[2]string{a, b}]; {
+			switch k := g.Link(a, b); {
 			case k == nil || i%4 == 3: // a node ends and begins
 				g.stop(a)
 				time.Sleep(pause / 2)
 				g.start(a)
 			case i%4 == 0:
-				g.ways[[2]string{a, b}].Hold(true)
+				g.Way(a, b).Hold(true)
 				time.Sleep(pause)
-				g.ways[[2]string{a, b}].Hold(false)
+				g.Way(a, b).Hold(false)
 			case i%4 == 1:
 				k.Twice(pause)
 				time.Sleep(pause)
 				k.Twice(0)
 			case i%4 == 2: // the leader speaks to nobody, and hears all
 				v := g.view(10*time.Second, anyLeader)
-				for _, other := range g.names {
-					g.ways[[2]string{v.Leader, other}].Hold(true)
-				}
+				g.Alone(v.Leader, true, false, true)
 				time.Sleep(2 * pause)
-				for _, other := range g.names {
-					g.ways[[2]string{v.Leader, other}].Hold(false)
-				}
+				g.Alone(v.Leader, true, false, false)
 			}
 		}
 	})
@@ -383,17 +369,11 @@
 			}
 		}
 	}
-	cut := func(name string, on bool) {
-		for _, other := range g.names {
-			g.ways[[2]string{name, other}].Hold(on)
-			g.ways[[2]string{other, name}].Hold(on)
-		}
-	}
 	other := g.names[slices.IndexFunc(g.names[:3], func(n string) bool { return n != first.Leader })]
-	cut(other, true)
+	g.Alone(other, true, true, true)
 	to(2, g.names...)
 	time.Sleep(3 * time.Second)
-	cut(other, false)
+	g.Alone(other, true, true, false)
 	g.view(30*time.Second, func(v budget.View) bool { return v.Version == 2 && len(v.Members) == 5 })
 	to(3, "h3", "h4", "h5")
 	v := g.view(30*time.Second, func(v budget.View) bool { return v.Version == 3 && len(v.Members) == 3 })
--- /dev/null
+++ b/manage/member/member_test.go
@@ -0,0 +1,166 @@
+package member
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"milletbarrow/limit"
+	"milletbarrow/manage/peer"
+	"milletbarrow/proc"
+	"milletbarrow/trial/link"
+)
+
+// hosts are some agents' lists in this process, with links between them.
+type hosts struct {
+	*link.Mesh
+	t     *testing.T
+	at    []string
+	lists map[string]*List
+	ends  map[string]func()
+
+	mu    sync.Mutex
+	heard map[string]map[State]int // by judged host: how often some other came to a state
+}
+
+func newHosts(t *testing.T, n int) *hosts {
+	h := &hosts{t: t, lists: map[string]*List{}, ends: map[string]func(){}, heard: map[string]map[State]int{}}
+	var names []string
+	for i := range n {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.28.%d:0", i+1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		names, h.at = append(names, fmt.Sprint("h", i+1)), append(h.at, l.Addr().String())
+		h.heard[names[i]] = map[State]int{}
+	}
+	var err error
+	if h.Mesh, err = link.NewMesh(names, h.at); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(h.Mesh.Close)
+	return h
+}
+
+func (h *hosts) start(i int, incarnation uint64) {
+	h.t.Helper()
+	name := h.Names[i]
+	n, err := peer.Listen(name, h.at[i], h.To(name), limit.ForControl())
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	l, err := Start(Options{
+		Host: name, Incarnation: incarnation, Hosts: h.Names, Net: n, Bounds: limit.ForControl(), Clock: proc.Now,
+		Changed: func(s Seen) {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.heard[s.Host][s.State]++
+		},
+	})
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var all sync.WaitGroup
+	all.Go(func() { n.Run(ctx) })
+	all.Go(func() { l.Run(ctx) })
+	h.lists[name] = l
+	h.ends[name] = func() {
+		cancel()
+		all.Wait()
+	}
+}
+
+func (h *hosts) stopAll() {
+	for _, end := range h.ends {
+		end()
+	}
+}
+
+// judged waits until every list but that of one host judges it so, and says how long that took.
+func (h *hosts) judged(name string, state State, within time.Duration) time.Duration {
+	h.t.Helper()
+	for began := time.Now(); ; time.Sleep(10 * time.Millisecond) {
+		n := 0
+		for by, l := range h.lists {
+			for _, s := range l.View() {
+				if by != name && s.Host == name && s.State == state {
+					n++
+				}
+			}
+		}
+		if n == len(h.lists)-1 {
+			return time.Since(began)
+		}
+		if time.Since(began) > within {
+			h.t.Fatalf("%d of %d judge %s %s within %v", n, len(h.lists)-1, name, state, within)
+		}
+	}
+}
+
+// TestCuts: one bad link condemns nobody, in one direction or both; who is cut off from all is gone, and comes back.
+func TestCuts(t *testing.T) {
+	h := newHosts(t, 5)
+	for i := range h.Names {
+		h.start(i, uint64(i+1))
+	}
+	defer h.stopAll()
+	for _, name := range h.Names {
+		h.judged(name, Alive, 20*time.Second)
+	}
+	gone := func() (n int) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		for _, states := range h.heard {
+			n += states[Gone]
+		}
+		return n
+	}
+	h.Way("h1", "h2").Hold(true)
+	time.Sleep(4 * time.Second)
+	if n := gone(); n > 0 {
+		t.Errorf("one way from h1 to h2 was cut, and %d times somebody was judged gone", n)
+	}
+	h.Way("h2", "h1").Hold(true)
+	time.Sleep(4 * time.Second)
+	if n := gone(); n > 0 {
+		t.Errorf("the link between h1 and h2 was cut, and %d times somebody was judged gone", n)
+	}
+	h.Way("h1", "h2").Hold(false)
+	h.Way("h2", "h1").Hold(false)
+	h.Alone("h3", true, true, true)
+	t.Logf("cut off from all: gone after %v", h.judged("h3", Gone, 30*time.Second).Round(10*time.Millisecond))
+	h.Alone("h3", true, true, false)
+	t.Logf("let back: alive after %v", h.judged("h3", Alive, 30*time.Second).Round(10*time.Millisecond))
+	h.Alone("h4", true, false, true)
+	t.Logf("heard by nobody, hearing all: gone after %v", h.judged("h4", Gone, 30*time.Second).Round(10*time.Millisecond))
+	h.Alone("h4", true, false, false)
+	h.judged("h4", Alive, 30*time.Second)
+
+	// A host that comes back is another incarnation.
+	h.ends["h5"]()
+	delete(h.ends, "h5")
+	delete(h.lists, "h5")
+	time.Sleep(300 * time.Millisecond)
+	h.start(4, 55)
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		n := 0
+		for by, l := range h.lists {
+			for _, s := range l.View() {
+				if by != "h5" && s.Host == "h5" && s.Incarnation == 55 && s.State == Alive {
+					n++
+				}
+			}
+		}
+		if n == 4 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%d of 4 know the new incarnation", n)
+		}
+	}
+}
--- a/trial/audit/audit.go
+++ b/trial/audit/audit.go
@@ -354,3 +354,46 @@
 	}
 	return most
 }
+
+// Drawn is how many units were drawn between two times, of what was drawn between two stamps the part that lies there.
+func Drawn(all []*Process, budget string, from, to int64) (units float64) {
+	for _, p := range all {
+		for _, d := range p.drew[budget] {
+			if in := min(to, d.to) - max(from, d.from); in > 0 {
+				units += float64(d.units) * float64(in) / float64(d.to-d.from)
+			}
+		}
+	}
+	return units
+}
+
+// HeldSince tells from when on the shares in force, but for those of some names, add up to a number of units; ok is false if
+// they do not before the end.
+func HeldSince(all []*Process, budget string, without map[string]bool, units int64, from, to int64) (at int64, ok bool) {
+	for at = from; at < to; at += 5_000 {
+		sum := int64(0)
+		for _, p := range all {
+			if without[p.Name] {
+				continue
+			}
+			hs := p.have[budget]
+			i, _ := slices.BinarySearchFunc(hs, at, func(h have, t int64) int {
+				if h.at <= t {
+					return -1
+				}
+				return 1
+			})
+			if i == 0 || at > p.Last {
+				continue
+			}
+			h := hs[i-1]
+			if sum += h.floor; at < h.at+h.left {
+				sum += h.extra
+			}
+		}
+		if sum >= units {
+			return at, true
+		}
+	}
+	return 0, false
+}
--- a/trial/ground/bring.go
+++ b/trial/ground/bring.go
@@ -32,7 +32,7 @@
 func (g *Ground) bring(ctx context.Context, f timetable.Fault) error {
 	switch f.Kind {
 	case timetable.Cut, timetable.CutBoth, timetable.Delay, timetable.Stall, timetable.Slow, timetable.Reset, timetable.Twice:
-		g.between(ctx, f, index(f.A), index(f.B))
+		g.between(ctx, f)
 		return nil
 	case timetable.Minority:
 		g.minority(ctx, f)
@@ -91,23 +91,19 @@
 }
 
 // between brings a fault between two hosts.
-func (g *Ground) between(ctx context.Context, f timetable.Fault, a, b int) {
-	there, back := g.ways[a][b], g.ways[b][a]
-	reset := func() {
-		g.links[a][b].Reset()
-		g.links[b][a].Reset()
-	}
+func (g *Ground) between(ctx context.Context, f timetable.Fault) {
+	there, back := g.mesh.Way(f.A, f.B), g.mesh.Way(f.B, f.A)
 	switch f.Kind {
 	case timetable.Cut:
 		there.Hold(true)
 		wait(ctx, f.For)
-		reset() // what was lost meanwhile is not brought by a connection that was given up
+		g.mesh.Reset(f.A, f.B) // what was lost meanwhile is not brought by a connection that was given up
 		there.Hold(false)
 	case timetable.CutBoth:
 		there.Hold(true)
 		back.Hold(true)
 		wait(ctx, f.For)
-		reset()
+		g.mesh.Reset(f.A, f.B)
 		there.Hold(false)
 		back.Hold(false)
 	case timetable.Stall:
@@ -123,11 +119,11 @@
 		wait(ctx, f.For)
 		there.Slow(0)
 	case timetable.Reset:
-		reset()
+		g.mesh.Reset(f.A, f.B)
 	case timetable.Twice:
-		g.links[a][b].Twice(f.By)
+		g.mesh.Link(f.A, f.B).Twice(f.By)
 		wait(ctx, f.For)
-		g.links[a][b].Twice(0)
+		g.mesh.Link(f.A, f.B).Twice(0)
 		wait(ctx, f.By)
 	}
 }
@@ -136,19 +132,19 @@
 func (g *Ground) minority(ctx context.Context, f timetable.Fault) {
 	a := index(f.A)
 	few := map[int]bool{a: true, (a + 1) % len(g.hosts): len(g.hosts) > 3}
-	each := func(do func(i, j int)) {
+	each := func(do func(a, b string)) {
 		for i := range g.hosts {
 			for j := range g.hosts {
 				if i != j && few[i] != few[j] {
-					do(i, j)
+					do(g.hosts[i].name, g.hosts[j].name)
 				}
 			}
 		}
 	}
-	each(func(i, j int) { g.ways[i][j].Hold(true) })
+	each(func(a, b string) { g.mesh.Way(a, b).Hold(true) })
 	wait(ctx, f.For)
-	each(func(i, j int) { g.links[i][j].Reset() })
-	each(func(i, j int) { g.ways[i][j].Hold(false) })
+	each(g.mesh.Reset)
+	each(func(a, b string) { g.mesh.Way(a, b).Hold(false) })
 }
 
 // blackout kills all agents at once.
--- a/trial/ground/ground.go
+++ b/trial/ground/ground.go
@@ -97,8 +97,7 @@
 	site     *demo.Site
 	scenario model.Scenario
 	hosts    []*host
-	ways     [][]*link.Way // from, to
-	links    [][]*link.Link
+	mesh     *link.Mesh
 	version  int
 	wholes   map[string]int
 	limits   audit.Limits
@@ -178,24 +177,12 @@
 	for _, l := range held {
 		l.Close()
 	}
-	for range n {
-		row := make([]*link.Way, n)
-		for j := range row {
-			row[j] = link.NewWay()
-		}
-		g.ways = append(g.ways, row)
+	var names, peers []string
+	for _, h := range g.hosts {
+		names, peers = append(names, h.name), append(peers, h.peer)
 	}
-	for i := range n {
-		row := make([]*link.Link, n)
-		for j := range n {
-			if i == j {
-				continue
-			}
-			if row[j], err = link.Open(g.hosts[j].peer, g.ways[i][j], g.ways[j][i]); err != nil {
-				return nil, err
-			}
-		}
-		g.links = append(g.links, row)
+	if g.mesh, err = link.NewMesh(names, peers); err != nil {
+		return nil, err
 	}
 	return g, g.writeFiles()
 }
@@ -208,7 +195,7 @@
 		for j, other := range g.hosts {
 			at := other.peer
 			if j != i {
-				at = g.links[i][j].Address
+				at = g.mesh.Link(h.name, other.name).Address
 			}
 			fmt.Fprintf(&b, " (host %s (agent %q) (peer %q))\n", other.name, other.agent, at)
 		}
@@ -582,12 +569,8 @@
 		h.mu.Unlock()
 	}
 	g.sweep()
-	for _, row := range g.links {
-		for _, k := range row {
-			if k != nil {
-				k.Close()
-			}
-		}
+	if g.mesh != nil {
+		g.mesh.Close()
 	}
 	return g.site.Clear()
 }
