--- a/lab/compare.go
+++ b/lab/compare.go
@@ -27,6 +27,8 @@
 		m.Of = (*model.Result).Value
 	case "broken":
 		m.Of, m.Less = func(r *model.Result) float64 { return float64(r.Broken()) }, true
+	case "priced":
+		m.Of = func(r *model.Result) float64 { return r.Priced / math.Max(r.Offered, 1e-9) }
 	case "attempts":
 		m.Of, m.Less = func(r *model.Result) float64 { return per(r, float64(r.Attempts)) }, true
 	case "wasted":
@@ -46,7 +48,7 @@
 			of, known = func(p *model.Part) float64 { return p.Share(n) }, true
 		}
 		if !ok || !known {
-			return m, fmt.Errorf("no figure %q: value, broken, attempts, wasted, changes, or OPERATION with .value, .in-time, .p50, .p99 or .%s", name, strings.Join(ends, ", ."))
+			return m, fmt.Errorf("no figure %q: value, priced, broken, attempts, wasted, changes, or OPERATION with .value, .in-time, .p50, .p99 or .%s", name, strings.Join(ends, ", ."))
 		}
 		m.Less = what != "value" && what != "in-time" && what != "succeeded"
 		m.Of = func(r *model.Result) float64 {
--- a/manage/ledger/bench_test.go
+++ b/manage/ledger/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 // BenchmarkRenew is how many renewals a second a group bears, asked through any of its members, each of one host with ten
 // backends, and durable on a majority's disks before it is answered.
 func BenchmarkRenew(b *testing.B) {
+	slog.SetDefault(slog.New(slog.DiscardHandler))
 	for _, n := range []int{1, 3, 5} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			g := newGroup(b, n)
--- a/model/node.go
+++ b/model/node.go
@@ -357,6 +357,7 @@
 		value *= op.SkippedValue
 	}
 	w.res.End(w.s, w.now, int(a.op), int(a.tenant), Succeeded, took, value)
+	w.res.Priced += value * w.price(int(a.tenant))
 	w.close(i)
 }
 
--- a/model/result.go
+++ b/model/result.go
@@ -30,6 +30,7 @@
 	Shed        int     `json:"shed"`             // by a level
 	Within      int     `json:"within,omitempty"` // read, and within its tenant's share where shares are told
 	Beyond      int     `json:"beyond,omitempty"`
+	Priced      float64 `json:"priced,omitempty"` // billed, where beyond a tenant's quota over all hosts it counts for less
 	Deaths      int     `json:"deaths"`
 	Lives       int     `json:"lives"`             // of all hosts
 	Refused     int     `json:"refused,omitempty"` // releases that the fleet did not take
--- a/model/scenario.go
+++ b/model/scenario.go
@@ -295,11 +295,14 @@
 	return float64(s.Hosts.Count*s.Hosts.Cores) * 1e6 / (mean/total + float64(s.Hosts.Read))
 }
 
+// overShare is what work beyond its tenant's quota is worth, beside work within it.
+const overShare = 0.3
+
 // Terms are what a host's policy is told of the deployment, cold for one that replaces another.
 func (s *Scenario) Terms(cold bool) admit.Terms {
 	h := &s.Hosts
 	t := admit.Terms{
-		OverShareValue: 0.3, Fleet: h.told(), Callers: s.Nodes.Count, Cores: h.Cores, MemoryKB: h.MemoryKB, RunFactor: h.RunFactor,
+		OverShareValue: overShare, Fleet: h.told(), Callers: s.Nodes.Count, Cores: h.Cores, MemoryKB: h.MemoryKB, RunFactor: h.RunFactor,
 		KeyKB: 0.2, JustStarted: cold, AnswerSlack: h.Slack, DrainGrace: h.Grace, ColdShare: h.ColdShare, ColdFor: max(h.ColdFor, 1),
 		FallMultiple: h.Crowd, FallOver: h.FallOver, SharedBelow: true, CallShare: float64(s.Below.Slots) / float64(h.Count),
 		CallsOver: Second, Linger: s.Below.Work, MaxRetryAfter: h.RetryAfter, IdleFor: h.IdleFor,
--- a/model/shares.go
+++ b/model/shares.go
@@ -102,6 +102,25 @@
 	return h
 }
 
+// price is what one that succeeds now is worth beside its billed value: less beyond its tenant's quota, counted over all hosts
+// at once, whatever the policy knew of it.
+func (w *world) price(tenant int) float64 {
+	if len(w.s.Tenants) == 0 || w.s.Tenants[tenant].Quota < 1 {
+		return 1
+	}
+	if w.quotas == nil {
+		var all []budget.Budget
+		for i, t := range w.s.Tenants {
+			all = append(all, budget.Budget{Name: fmt.Sprint(i), Whole: int64(t.Quota)})
+		}
+		w.quotas = fixedHolder("all", "price", all, 1)
+	}
+	if w.quotas.Draw(share.Micros(w.now), tenant) {
+		return 1
+	}
+	return overShare
+}
+
 // beginShares gives a host's new process its side.
 func (w *world) beginShares(h *host) {
 	sh := w.shares
--- a/model/world.go
+++ b/model/world.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 
 	"milletbarrow/admit"
+	"milletbarrow/serve/share"
 )
 
 // ask is what one caller wants: it may take several attempts, and, where the caller asks anew, several lives.
@@ -108,9 +109,10 @@
 	number    uint64
 	agentOff  bool
 	cutNodes  map[int32]bool
-	cutHosts  int32    // hosts below this one are cut off from those nodes
-	ledgerCut bool     // and from the ledger
-	shares    *sharing // nil where hosts guess
+	cutHosts  int32         // hosts below this one are cut off from those nodes
+	ledgerCut bool          // and from the ledger
+	quotas    *share.Holder // what succeeds is priced by
+	shares    *sharing      // nil where hosts guess
 	grayBy    Micros
 	grayHost  map[int32]bool
 
