Units of a share drawn for work that never runs are given back

Two causes were found and measured one by one (docs/budget-design.md):

- buckets of a tenth of a second, two units at the least, ran over at shares of 18 a second.

The auditor's bound on units drawn follows. Off in run: nothing draws there.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -88,6 +88,7 @@
 	want     Micros    // past it an answer is late
 	words    chan Word // at most Run and one final word
 	shed     Micros    // a level sheds it
+	drew     int       // the budget that a unit was drawn of for it, or -1
 	running  bool
 	answered bool // the final word is out, or none is owed
 }
@@ -220,7 +221,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := Now()
-	t := &Ticket{id: inv.ID, due: inv.At + inv.Wait, words: make(chan Word, 2)}
+	t := &Ticket{id: inv.ID, drew: -1, due: inv.At + inv.Wait, words: make(chan Word, 2)}
 	if inv.Operation < len(g.sheet.Terms.Operations) {
 		t.want = inv.At + g.sheet.Terms.Operations[inv.Operation].Objective
 	}
@@ -245,7 +246,7 @@
 		ID: inv.ID, Operation: inv.Operation, Tenant: inv.Tenant, Rank: inv.Rank, Retry: inv.Retry,
 		Hint: inv.Work, Waited: max(0, now-inv.At),
 		Budget: max(1, t.due-now), // a wait that is used up is due at once; 0 would mean that none was told
-		KB:     inv.KB, Shed: t.shed, Share: g.draw(&inv, t.shed),
+		KB:     inv.KB, Shed: t.shed, Share: g.draw(&inv, t),
 	})
 	if fault != nil {
 		g.answer(t, Word{Verdict: Errored})
@@ -272,6 +273,9 @@
 		}
 	}
 	t.answered = true
+	if end == NeverRan {
+		g.giveBack(t)
+	}
 	delete(g.hand, t.id)
 	g.decide(Now(), admit.Finished{ID: t.id, Outcome: outcomes[end]})
 	return owed
@@ -367,6 +371,9 @@
 	}
 	t.answered = true
 	t.words <- w
+	if !t.running {
+		g.giveBack(t)
+	}
 	switch w.Verdict {
 	case Throttled:
 		g.counts.Throttled++
--- a/gate/share.go
+++ b/gate/share.go
@@ -47,17 +47,26 @@
 }
 
 // draw takes a unit of the tenant's budget for work that comes now. What a level sheds takes none.
-func (g *Gate) draw(inv *Invocation, shed Micros) admit.Share {
+func (g *Gate) draw(inv *Invocation, t *Ticket) admit.Share {
 	s := g.shares
-	if s == nil || shed > 0 || inv.Tenant < 0 || inv.Tenant >= len(s.tenants) || s.tenants[inv.Tenant] < 0 {
+	if s == nil || t.shed > 0 || inv.Tenant < 0 || inv.Tenant >= len(s.tenants) || s.tenants[inv.Tenant] < 0 {
 		return admit.NotTold
 	}
 	if s.holder.Draw(s.clock(), s.tenants[inv.Tenant]) {
+		t.drew = s.tenants[inv.Tenant]
 		return admit.Within
 	}
 	return admit.Beyond
 }
 
+// giveBack lets others of its tenant have the unit that was drawn for work that never ran.
+func (g *Gate) giveBack(t *Ticket) {
+	if t.drew >= 0 {
+		g.shares.holder.Back(g.shares.clock(), t.drew)
+		t.drew = -1
+	}
+}
+
 // AskShare makes a question for the ledger; ok is false where there are no budgets.
 func (g *Gate) AskShare() (a share.Ask, ok bool) {
 	g.mu.Lock()
--- a/model/world.go
+++ b/model/world.go
@@ -60,6 +60,7 @@
 	shed               bool // by a level
 	ending             bool // the policy hears that it is over
 	called             bool
+	drew               bool // a unit of its tenant's share
 	atHost, atNode     bool // who still has to do with it
 	prev, next         int32
 	reached, read, due Micros
--- a/serve/share/share.go
+++ b/serve/share/share.go
@@ -15,8 +15,8 @@
 // Bounds of what is kept, and of what may be drawn ahead.
 const (
 	keptAsks = 8       // asks whose time is remembered; an answer to an older one is refused
-	burst    = 100_000 // microseconds of its rate that a share that rested may draw at once,
-	fewest   = 2       // and so many units at the least: callers come by chance, and of one unit a quarter would be lost
+	burst    = 300_000 // microseconds of its rate that a share that rested may draw at once,
+	fewest   = 4       // and so many units at the least: callers come by chance, see docs/budget-design.md
 	million  = 1_000_000
 
 	// Most is the largest whole, floor or extra, in units a second: a year of it still counts exactly.
@@ -38,7 +38,7 @@
 type Known struct {
 	Budget string `json:"budget"`
 	Epoch  uint64 `json:"epoch"`
-	Drawn  int64  `json:"drawn"`
+	Drawn  int64  `json:"drawn"` // without what was given back
 	Denied int64  `json:"denied"`
 }
 
@@ -78,6 +78,7 @@
 	filled Micros // when tokens were last counted up
 	drawn  int64
 	denied int64
+	back   int64 // units given back that no later draw has used up yet
 }
 
 type asked struct {
@@ -117,10 +118,25 @@
 		return false
 	}
 	b.tokens -= million
-	b.drawn++
+	if b.back > 0 {
+		b.back--
+	} else {
+		b.drawn++
+	}
 	return true
 }
 
+// Back gives one unit back that was drawn for work that never ran. What is drawn and kept stays within what the shares
+// allow, and Drawn only grows: units given back are drawn again before new ones are counted.
+func (h *Holder) Back(now Micros, i int) {
+	b := &h.budgets[i]
+	b.fill(now)
+	if b.back < b.drawn {
+		b.back++
+		b.tokens = min(b.tokens+million, room(b.Floor+b.Extra))
+	}
+}
+
 // fill counts tokens up to now: at floor and extra while the lease lasts, at the floor alone after it. What the extra
 // left unused is gone with it.
 func (b *held) fill(now Micros) {
--- a/serve/share/share_test.go
+++ b/serve/share/share_test.go
@@ -31,6 +31,13 @@
 			if h.Draw(now, 0) {
 				drawn++
 			}
+			if drawn > 0 && rapid.IntRange(0, 3).Draw(t, "given back") == 0 {
+				h.Back(now, 0)
+				drawn--
+			}
+			if told := h.Views(now)[0].Drawn; told < drawn {
+				t.Fatalf("%d counted as drawn, %d are kept", told, drawn)
+			}
 			leased := max(0, min(now, asked+lease)-began)
 			most := (int64(now-began)*floor+int64(leased)*extra)/million + Ahead(floor+extra) + 1
 			if drawn > most {
