Reports to the register spread by chance, with growing pauses while it takes none

Seen: 120 and 240 backends that start together call a refusing register 4.6 times as often as in an ordinary second, and stay in step for good after it (4 to 7 times the mean in the fullest tenth).

--- a/cmd/milletbarrow/serve.go
+++ b/cmd/milletbarrow/serve.go
@@ -46,6 +46,9 @@
 		}, &cli.IntFlag{
 			Name: "trial-clock", Usage: "let the clock of leases run faster by so many millionths, as a trial", Hidden: true,
 			Sources: cli.EnvVars("MILLETBARROW_TRIAL_CLOCK"),
+		}, &cli.BoolFlag{
+			Name: "reports-fixed", Usage: "report to the register without chance or growing pauses, as a baseline", Hidden: true,
+			Sources: cli.EnvVars("MILLETBARROW_REPORTS_FIXED"),
 		}},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			if c.Args().Present() { // what is no command comes here too
@@ -73,14 +76,14 @@
 			if err != nil {
 				return err
 			}
-			return serve(b, ladder, sharing, c.String("config"), c.String("inspect"), c.String("levels"), hangup)
+			return serve(b, ladder, sharing, c.String("config"), c.String("inspect"), c.String("levels"), c.Bool("reports-fixed"), hangup)
 		},
 	}
 }
 
 // serve wires the parts together and waits for the notice to leave.
 func serve(
-	b *terms.Backend, ladder *levels.Ladder, sharing *gate.Sharing, file, socket, levelsFile string, hangup <-chan os.Signal,
+	b *terms.Backend, ladder *levels.Ladder, sharing *gate.Sharing, file, socket, levelsFile string, reportsFixed bool, hangup <-chan os.Signal,
 ) error {
 	notice := make(chan os.Signal, 1)
 	signal.Notify(notice, syscall.SIGTERM, os.Interrupt)
@@ -104,7 +107,7 @@
 	g.Watch(b.Watch)
 	link := farm.New(b.Farm, lim, tally, g.Open)
 	server := edge.New(b.Sheet, lim, tally, g, link)
-	reports := roster.New(b.Roster, b.Name, lim)
+	reports := roster.New(b.Roster, b.Name, lim, reportsFixed)
 	for tried, late := false, time.Now().Add(lim.Bind); ; time.Sleep(lim.Rebind) {
 		_, err := server.Listen(b.Listen)
 		if err == nil {
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -81,23 +81,29 @@
 }
 
 // Lay writes all files and starts the stand-ins. program is the milletbarrow that is to run; empty: the one that runs now.
-func Lay(s *model.Scenario, program string) (site *Site, err error) {
+func Lay(s *model.Scenario, program string) (*Site, error) { return LayAt(s, program, "") }
+
+// LayAt does it with a register of somebody else's at that address.
+func LayAt(s *model.Scenario, program, register string) (site *Site, err error) {
 	dir, err := os.MkdirTemp("", "mb") // short: sockets are opened in it
 	if err != nil {
 		return nil, err
 	}
-	site = &Site{Dir: dir, Fleet: filepath.Join(dir, "fleet.sx"), listed: map[string]time.Time{}, Loopback: loopback()}
+	site = &Site{Dir: dir, Fleet: filepath.Join(dir, "fleet.sx"), listed: map[string]time.Time{}, Loopback: Loopback()}
 	defer func() {
 		if err != nil {
 			site.Clear()
 		}
 	}()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return site, err
+	if register == "" {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return site, err
+		}
+		site.register = &http.Server{Handler: http.HandlerFunc(site.list), ReadTimeout: 5 * time.Second}
+		go site.register.Serve(l)
+		register = l.Addr().String()
 	}
-	site.register = &http.Server{Handler: http.HandlerFunc(site.list), ReadTimeout: 5 * time.Second}
-	go site.register.Serve(l)
 	var held []net.Listener // so that no address is given twice
 	defer func() {
 		for _, h := range held {
@@ -120,7 +126,7 @@
 		}
 		site.Yards = append(site.Yards, y)
 		raw, err := json.MarshalIndent(map[string]any{
-			"name": name, "listen": free.Addr().String(), "agent": y.Address, "roster": l.Addr().String(), "seed": fmt.Sprintf("%016x", n+1),
+			"name": name, "listen": free.Addr().String(), "agent": y.Address, "roster": register, "seed": fmt.Sprintf("%016x", n+1),
 			"stop_ms": float64(s.Hosts.Stop) / 1000, "limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": Settings(s),
 		}, "", " ")
 		if err == nil {
@@ -141,8 +147,8 @@
 
 var laid atomic.Int32
 
-// loopback is another address for each site of each process.
-func loopback() string {
+// Loopback is another address of this machine at each call, where nobody's calls begin.
+func Loopback() string {
 	pid := os.Getpid()
 	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>8&0x7f, pid&0xff, 2+laid.Add(1)%250)
 }
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -49,10 +49,16 @@
 	LinkMissed  time.Duration // without a link for so long, checks are answered with bad
 
 	// The roster.
-	Report      time.Duration // between two reports
-	ReportAgain time.Duration // after one that did not arrive
-	Call        time.Duration // one report; as long as an entry lasts, so that a slow roster still counts it
-	Reports     int           // on their way at once
+	Report       time.Duration // between two reports, in the mean
+	ReportAgain  time.Duration // between two words that we leave, where one may overtake the other
+	ReportLeast  time.Duration // of a pause after a report that was not taken
+	ReportClosed time.Duration // the longest while nobody listens there
+	ReportFirst  time.Duration // the longest after the first that was not taken
+	ReportMost   time.Duration // and after many
+	ReportAdvice time.Duration // the longest that the roster may ask to stay away
+	Lapse        time.Duration // an entry is gone so long after its last report
+	Call         time.Duration // one report; as long as an entry lasts, so that a slow roster still counts it
+	Reports      int           // on their way at once
 
 	// Edge nodes.
 	Bind   time.Duration // an address that is still taken, by one just killed, is tried for so long,
@@ -97,28 +103,34 @@
 		Unfit:    32,
 		Leaving:  leaving,
 
-		SampleWait:  20 * time.Millisecond,
-		SampleOld:   300 * time.Millisecond,
-		HeldUp:      60 * time.Millisecond,
-		RedialLeast: 20 * time.Millisecond,
-		RedialMost:  100 * time.Millisecond,
-		LinkMissed:  time.Second,
-		Dial:        time.Second,
-		Report:      700 * time.Millisecond,
-		ReportAgain: 150 * time.Millisecond,
-		Call:        2800 * time.Millisecond,
-		Reports:     4,
-		Bind:        5 * time.Second,
-		Rebind:      20 * time.Millisecond,
-		Unread:      10 * time.Second,
-		Sweep:       250 * time.Millisecond,
-		Fresh:       50 * time.Millisecond,
-		Rests:       time.Second,
-		Hello:       2 * time.Second,
-		Quiet:       10 * time.Second,
-		NoticeLate:  100 * time.Millisecond,
-		LastWords:   30 * time.Millisecond,
-		LastChance:  5 * time.Millisecond,
+		SampleWait:   20 * time.Millisecond,
+		SampleOld:    300 * time.Millisecond,
+		HeldUp:       60 * time.Millisecond,
+		RedialLeast:  20 * time.Millisecond,
+		RedialMost:   100 * time.Millisecond,
+		LinkMissed:   time.Second,
+		Dial:         time.Second,
+		Report:       700 * time.Millisecond,
+		ReportAgain:  150 * time.Millisecond,
+		ReportLeast:  20 * time.Millisecond,
+		ReportClosed: 1400 * time.Millisecond,
+		ReportFirst:  2800 * time.Millisecond,
+		ReportMost:   4200 * time.Millisecond,
+		ReportAdvice: 30 * time.Second,
+		Lapse:        3 * time.Second,
+		Call:         2800 * time.Millisecond,
+		Reports:      2,
+		Bind:         5 * time.Second,
+		Rebind:       20 * time.Millisecond,
+		Unread:       10 * time.Second,
+		Sweep:        250 * time.Millisecond,
+		Fresh:        50 * time.Millisecond,
+		Rests:        time.Second,
+		Hello:        2 * time.Second,
+		Quiet:        10 * time.Second,
+		NoticeLate:   100 * time.Millisecond,
+		LastWords:    30 * time.Millisecond,
+		LastChance:   5 * time.Millisecond,
 	}
 	b.Content = b.Body + 8<<10
 	b.Unsent = 2 * b.Streams * (b.Result + 256)
--- a/trial/ground/report.go
+++ b/trial/ground/report.go
@@ -39,6 +39,12 @@
 		fmt.Fprintf(w, "  %s: shares in force at most %.3f of the whole, %.3f over time, %.3f at the end; %d grants, %d units drawn, at most %d over the whole at once\n",
 			r.Budget, r.Most, r.Mean, r.Last, r.Grants, r.Drawn, r.Over)
 	}
+	if f := v.Cold; f != nil {
+		fmt.Fprintf(w, "  register: an ordinary second has %.0f calls; while it took nothing %.0f, at most %.0f; fullest tenth %.2f times the mean in the first second, %.2f once all were listed\n",
+			f.Ordinary, f.Refusing, f.Worst, f.First, f.Peak)
+		fmt.Fprintf(w, "  half listed after %.1f s, 95 in a hundred after %.1f s; %d connections, fell over %d times; %d lapses; at most %d starting at once; %d of %d listed at the end\n",
+			f.Half, f.Most, f.Conns, f.Falls, f.Lapsed, f.Starting, f.Listed, f.Backends)
+	}
 	for _, why := range v.Why {
 		fmt.Fprintln(w, "  ", why)
 	}
--- /dev/null
+++ b/trial/timetable/cold.go
@@ -0,0 +1,57 @@
+package timetable
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"milletbarrow/sexp"
+	"milletbarrow/trial/cold"
+)
+
+// Cold is the beginning of a trial in which all backends are started at once.
+type Cold struct {
+	cold.Register
+	cold.Bounds
+	Fixed bool // backends report without chance or growing pauses, as a baseline
+	Rise  int  // so many may start at once over all hosts, by a rise; 0: all are asked for at once
+}
+
+func readCold(f *sexp.Form) *Cold {
+	c := &Cold{Register: cold.Register{Crowd: f.Int("crowd", 0, 100_000, 0), Needs: f.Span("needs", 0, longest, 5*time.Second)}}
+	c.Rise = f.Int("rise", 0, 100_000, 0)
+	c.Fixed = f.OneOf("reports", "paced", "fixed") == "fixed"
+	last := time.Duration(-1)
+	for _, sub := range f.All("phase") {
+		p := cold.Phase{From: sub.Span("from", 0, longest, 0), Takes: sub.Span("takes", 0, time.Minute, 0), Advice: sub.Span("advice", 0, longest, 0)}
+		p.Mode = cold.Mode(sub.OneOf("is", cold.Modes()...))
+		if p.From <= last {
+			sub.Fail("from", "%v is not after the phase before", p.From)
+		}
+		last = p.From
+		sub.Done()
+		c.Phases = append(c.Phases, p)
+	}
+	if sub := f.Field("bounds"); sub != nil {
+		c.Bounds = cold.Bounds{
+			Refusing: sub.Share("refusing", 0, 100, 0), First: sub.Share("first", 0, 100, 0), Peak: sub.Share("peak", 0, 100, 0),
+			Conns: sub.Int("connections", 0, 1000, 0), Most: sub.Span("listed", 0, longest, 0).Seconds(),
+		}
+		sub.Done()
+	}
+	f.Done()
+	return c
+}
+
+func (c *Cold) write(b *strings.Builder) {
+	reports := "paced"
+	if c.Fixed {
+		reports = "fixed"
+	}
+	fmt.Fprintf(b, "\n  (cold (reports %s) (rise %d) (crowd %d) (needs %v)", reports, c.Rise, c.Crowd, c.Needs)
+	for _, p := range c.Phases {
+		fmt.Fprintf(b, "\n    (phase (from %v) (is %s) (takes %v) (advice %v))", p.From, p.Mode, p.Takes, p.Advice)
+	}
+	fmt.Fprintf(b, "\n    (bounds (refusing %g) (first %g) (peak %g) (connections %d) (listed %v)))",
+		c.Refusing, c.First, c.Peak, c.Conns, time.Duration(c.Most*float64(time.Second)))
+}
--- a/trial/timetable/timetable.go
+++ b/trial/timetable/timetable.go
@@ -91,6 +91,7 @@
 	Skew     int           // clocks of leases run apart by up to so many millionths, host by host
 	Wave     time.Duration // a wave over all hosts begins then; 0: none
 	Faults   []Fault
+	Cold     *Cold // all backends are started at its beginning, beside a register that may be ill; nil: they serve by then
 }
 
 func (t *Table) String() string {
@@ -99,6 +100,9 @@
 	if t.Wave > 0 {
 		fmt.Fprintf(&b, " (wave %v)", t.Wave)
 	}
+	if t.Cold != nil {
+		t.Cold.write(&b)
+	}
 	for _, f := range t.Faults {
 		fmt.Fprintf(&b, "\n  %v", f)
 	}
@@ -145,6 +149,9 @@
 			t.Faults = append(t.Faults, x)
 		}
 	}
+	if sub := f.Field("cold"); sub != nil {
+		t.Cold = readCold(sub)
+	}
 	f.Done()
 	slices.SortStableFunc(t.Faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return t, errs.Err()
