Sites come up by a rise: the ledger says who starts next, over all hosts

Need: after a blackout nothing limits how many backends of a fleet start at once; each host's agent knows its own alone.

manage/rise (pure, part of the ledger's replicated state) orders members, the least of each group first, and sets the pace: up by one for each that comes up well, half at once for a start that failed or took three times as long as the quickest, stopped after a row of failures. fleet.lift (pure) takes a unit of a count for each start and gives it back once it is warm or given up; without an answer of the ledger for 5 s a host goes on by the one unit set aside for it, so that the whole holds with every link cut. fleet rise, (rise ...), (alone yes).

--- a/agent/shares.go
+++ b/agent/shares.go
@@ -200,6 +200,7 @@
 	defer cancel()
 	turn := &budget.Take{Budget: s.Unit.Budget, Name: s.Name, Host: a.o.Host, Turn: s.ID}
 	if s.What == fleet.GiveUnit {
+		turn.End = &s.End
 		if _, err := a.o.Shares.Do(ctx, budget.Command{Give: turn}); err == nil {
 			a.bring(fleet.UnitGiven{Name: s.Name, Turn: s.ID})
 		}
@@ -260,6 +261,23 @@
 	return nil
 }
 
+// Rise begins a rise at the ledger, or says a word about one.
+func (a *Agent) Rise(ctx context.Context, r budget.Rise) error {
+	if a.o.Shares == nil {
+		return errNothingShared
+	}
+	ctx, cancel := context.WithTimeout(ctx, a.o.Bounds.Call)
+	defer cancel()
+	res, err := a.o.Shares.Do(ctx, budget.Command{Rise: &r})
+	switch {
+	case err != nil:
+		return &control.Refusal{Status: http.StatusServiceUnavailable, Text: err.Error()}
+	case res.No != "":
+		return &control.Refusal{Status: http.StatusConflict, Text: res.No}
+	}
+	return nil
+}
+
 // Members are the agents that this one thinks are there.
 func (a *Agent) Members() []member.Seen {
 	if a.o.Shares == nil {
--- a/cmd/milletbarrow/fleet.go
+++ b/cmd/milletbarrow/fleet.go
@@ -29,7 +29,7 @@
 		Commands: []*cli.Command{
 			fleetCheckCommand(), orderCommand(fleet.Start), orderCommand(fleet.Drain), orderCommand(fleet.Stop),
 			orderCommand(fleet.Restart), waveCommand(), steerCommand("pause"), steerCommand("resume"),
-			steerCommand("cancel"), fleetStatusCommand(), fleetWatchCommand(), fleetHistoryCommand(), fleetBudgetsCommand(),
+			steerCommand("cancel"), fleetStatusCommand(), fleetWatchCommand(), fleetHistoryCommand(), fleetBudgetsCommand(), riseCommand(),
 			fleetMembersCommand(),
 		},
 	}
--- a/cmd/milletbarrow/fleet_budgets.go
+++ b/cmd/milletbarrow/fleet_budgets.go
@@ -82,4 +82,7 @@
 		}
 	}
 	table(rows)
+	for _, r := range b.Rises {
+		fmt.Println(riseLine(&r))
+	}
 }
--- a/cmd/milletbarrow/trial_test.go
+++ b/cmd/milletbarrow/trial_test.go
@@ -64,6 +64,23 @@
 	}
 }
 
+// TestTrialCold starts sixty backends at once beside a register that refuses, and a site that comes up by a rise while agents
+// die and a host is cut off.
+func TestTrialCold(t *testing.T) {
+	for _, name := range []string{"cold.sx", "cold-rise.sx"} {
+		if v := played(t, program, "", kept(t, name)); !v.OK {
+			t.Errorf("%s did not hold: %v", name, v.Why)
+		}
+	}
+	// Without chance and growing pauses the same is caught by each of its figures.
+	table := kept(t, "cold-fixed.sx")
+	table.Span = 12 * time.Second
+	v := played(t, program, "", table)
+	if why := strings.Join(v.Why, " "); v.OK || !strings.Contains(why, "while it took nothing") || !strings.Contains(why, "first second") || !strings.Contains(why, "once all were listed") {
+		t.Errorf("backends in step were not caught: %v", v.Why)
+	}
+}
+
 // planted builds the program with the faults that a trial must catch.
 func planted(t *testing.T) string {
 	t.Helper()
@@ -82,6 +99,12 @@
 	if v := played(t, bad, "floors", table); v.OK || !strings.Contains(strings.Join(v.Why, " "), "shares in force") {
 		t.Errorf("floors counted twice were not found: %v", v.Why)
 	}
+	// One host of three starts all that it has, whatever the ledger says.
+	ignored := kept(t, "cold-rise.sx")
+	ignored.Faults, ignored.Backends, ignored.Span, ignored.Cold.Rise = nil, 36, 4*time.Second, 7
+	if v := played(t, bad, "ignore@h2", ignored); v.OK || !strings.Contains(strings.Join(v.Why, " "), "starting at once") {
+		t.Errorf("a host that ignores the budget of starts was not found: %v", v.Why)
+	}
 	// At a point between what is written and what is replicated, and between that and the answer, an agent dies.
 	table.Name, table.Span = "points", 14*time.Second
 	for i, word := range []string{"stored", "replicated", "stored"} {
--- a/control/api.go
+++ b/control/api.go
@@ -86,6 +86,8 @@
 	Budgets(ctx context.Context) (Budgets, error)
 	// WriteOff is an operator's word that what a name has of budgets is in force no more.
 	WriteOff(ctx context.Context, name, by string) error
+	// Rise begins a rise at the ledger, or says a word about one.
+	Rise(ctx context.Context, r budget.Rise) error
 	Members() []member.Seen
 }
 
--- a/control/client.go
+++ b/control/client.go
@@ -18,6 +18,7 @@
 
 	"milletbarrow/fleet"
 	"milletbarrow/limit"
+	"milletbarrow/manage/budget"
 	"milletbarrow/manage/member"
 	"milletbarrow/record"
 	"milletbarrow/talk"
@@ -227,6 +228,11 @@
 	return c.call(ctx, http.MethodPost, "/v1/write-off/"+url.PathEscape(name)+"?by="+url.QueryEscape(by), nil, nil)
 }
 
+// Rise begins a rise at the ledger, or says a word about one.
+func (c *Client) Rise(ctx context.Context, r budget.Rise) error {
+	return c.call(ctx, http.MethodPost, "/v1/rise", r, nil)
+}
+
 // Close lets go of kept connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
--- a/control/server.go
+++ b/control/server.go
@@ -15,6 +15,7 @@
 	"milletbarrow/fleet"
 	"milletbarrow/inspect"
 	"milletbarrow/limit"
+	"milletbarrow/manage/budget"
 )
 
 // Listen opens an agent's address: unix:PATH or a loopback address with a port.
@@ -90,6 +91,15 @@
 	at("POST /v1/write-off/{name}", func(r *http.Request) (any, error) {
 		return struct{}{}, s.m.WriteOff(r.Context(), r.PathValue("name"), r.URL.Query().Get("by"))
 	})
+	at("POST /v1/rise", func(r *http.Request) (any, error) {
+		var o budget.Rise
+		in := json.NewDecoder(io.LimitReader(r.Body, 4*int64(s.b.Message)))
+		in.DisallowUnknownFields()
+		if err := in.Decode(&o); err != nil {
+			return nil, &Refusal{http.StatusBadRequest, "not a rise: " + err.Error()}
+		}
+		return struct{}{}, s.m.Rise(r.Context(), o)
+	})
 	mux.HandleFunc("GET /v1/stream", s.stream)
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		s.answer(w, nil, &Refusal{http.StatusNotFound, fmt.Sprintf("%s %s: nothing here; this agent speaks version %d", r.Method, r.URL.Path, Version)})
--- a/fleet/budgets.go
+++ b/fleet/budgets.go
@@ -7,6 +7,7 @@
 
 	"milletbarrow/manage/budget"
 	"milletbarrow/manage/quorum"
+	"milletbarrow/manage/rise"
 	"milletbarrow/serve/share"
 	"milletbarrow/sexp"
 )
@@ -57,6 +58,9 @@
 		s.readRate(f, &b)
 	case count > 0 && rate == 0:
 		b.Kind, b.Whole = budget.Count, int64(count)
+		if f.OneOf("alone", "no", "yes") == "yes" {
+			b.Aside = int64(len(s.Hosts))
+		}
 	default:
 		f.Fail("", "wanted either (rate UNITS-A-SECOND) or (count UNITS)")
 	}
@@ -114,6 +118,31 @@
 	own("weights", 1, b.Weight)
 }
 
+// readRise reads how a whole fleet comes up.
+func (s *Spec) readRise(f *sexp.Form) {
+	s.RiseBudget = f.Text("budget", "")
+	t := &rise.Terms{
+		Least: f.Share("least", 0, 1, 0.1), Failures: int64(f.Int("failures", 1, 100_000, 5)), Slow: f.Share("slow", 1, 1000, 3),
+		Refused: f.Share("refused", 0, 1, 0.1), First: int64(f.Int("first", 0, 100_000, 0)),
+	}
+	f.Done()
+	if !s.counts(s.RiseBudget) {
+		f.Fail("budget", "%q is no count of this file", s.RiseBudget)
+		return
+	}
+	b := s.Budgets.Find(s.RiseBudget)
+	if b.Aside == 0 {
+		f.Fail("budget", "%q has no (alone yes): a host that can't reach the ledger would start nothing for good", s.RiseBudget)
+	}
+	if t.Most = b.Whole - b.Aside; t.First == 0 {
+		t.First = min(2, t.Most)
+	}
+	if field, err := t.Check(); err != nil {
+		f.Fail(field, "%v", err)
+	}
+	s.Rise = t
+}
+
 // counts tells whether a budget of that name is a count.
 func (s *Spec) counts(name string) bool {
 	if s.Budgets == nil {
--- a/fleet/command.go
+++ b/fleet/command.go
@@ -16,10 +16,11 @@
 	Stop    Kind = "stop"
 	Restart Kind = "restart"
 	Wave    Kind = "wave"
+	Rise    Kind = "rise" // what is down starts as the whole fleet's rise lets it; what serves stays
 )
 
 // Kinds lists them.
-func Kinds() []Kind { return []Kind{Start, Drain, Stop, Restart, Wave} }
+func Kinds() []Kind { return []Kind{Start, Drain, Stop, Restart, Wave, Rise} }
 
 // Command is what somebody asked for. All but Results and what is below it stays as it came.
 type Command struct {
@@ -119,7 +120,10 @@
 	if (c.Terms != nil) != (c.Kind == Wave) {
 		return fmt.Errorf("terms: they belong to a wave, and a wave needs them")
 	}
-	if c.Budget != "" && c.Kind != Wave {
+	if c.Kind == Rise && c.Budget == "" {
+		return errors.New("budget: a rise needs a count of the fleet's file")
+	}
+	if c.Budget != "" && c.Kind != Wave && c.Kind != Rise {
 		return fmt.Errorf("budget: not with %s", c.Kind)
 	}
 	if c.Terms != nil {
--- a/fleet/life.go
+++ b/fleet/life.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"strconv"
+
+	"milletbarrow/manage/rise"
 )
 
 // Phase is where an instance is in its life, as far as it is seen.
@@ -137,6 +139,7 @@
 	Told  Micros `json:"told,omitempty"` // Tell: when it was first told; its window runs from there
 	Cause string `json:"cause,omitempty"`
 	Unit  Unit   // of a step about one
+	End   rise.End
 }
 
 // Note is a line of history.
--- a/fleet/machine.go
+++ b/fleet/machine.go
@@ -41,6 +41,7 @@
 	past      []string   // ids of the ended, oldest first
 	number    int
 	service   service
+	unheard   Micros // since when asks for units have no answer; 0: the latest had one
 
 	steps   []Step
 	notes   []Note
@@ -269,13 +270,17 @@
 			m.touch(in)
 		}
 	case UnitsHeld:
+		m.unheard = 0
 		m.unitsHeld(now, e)
 	case Tick:
 		m.sweep(now)
 	}
 	for _, c := range m.open {
-		if c.Kind == Wave {
+		switch c.Kind {
+		case Wave:
 			m.roll(now, c)
+		case Rise:
+			m.lift(now, c)
 		}
 	}
 	m.close(now)
@@ -405,6 +410,11 @@
 		}
 	case Restart:
 		m.recycle(now, in)
+	case Rise:
+		if in.Up && in.Phase == Ready && !in.Recycle && in.Told == "" {
+			m.result(now, c, in.Name, Already, "")
+			in.tellRise(c)
+		}
 	}
 }
 
@@ -433,10 +443,12 @@
 	}
 	lost := in.Phase == Failed && in.Spent
 	switch c.Kind {
-	case Start:
+	case Start, Rise:
 		switch {
-		case in.Phase == Ready && !in.Recycle && in.Told == "":
+		case c.Kind == Rise && !in.Up: // it has not been its turn
+		case in.Phase == Ready && !in.Recycle && in.Told == "" && (c.Kind == Start || in.Settled(now)):
 			m.result(now, c, in.Name, Succeeded, "")
+			in.tellRise(c)
 		case lost:
 			m.result(now, c, in.Name, Failing, in.Cause)
 		}
--- /dev/null
+++ b/fleet/rise.go
@@ -0,0 +1,69 @@
+package fleet
+
+import (
+	"fmt"
+
+	"milletbarrow/manage/rise"
+)
+
+// Bounds of a host's part in a rise.
+const (
+	asksOfRise = 2         // instances that ask for a unit at once
+	aloneAfter = 5_000_000 // microseconds without an answer until a host goes on by the one unit that is set aside for it
+)
+
+// lift brings a rise forward on this host: what is down asks for a unit, starts once it holds one, and keeps it until it is
+// warm or given up. Whose turn it is over all hosts the ledger decides.
+func (m *Machine) lift(now Micros, c *Command) {
+	asked, alone := 0, false
+	for _, n := range m.names {
+		in := m.instances[n]
+		alone = alone || in.Unit.Alone && !in.back(now) && !in.Spent // warm it needs none, whoever has yet to hear of it
+	}
+	for _, n := range c.Names {
+		if _, over := c.Results[n]; over {
+			continue
+		}
+		in := m.instances[n]
+		switch {
+		case in == nil:
+			m.result(now, c, n, Failing, "the fleet's file no longer names it")
+			continue
+		case c.Out[n] || in.Up: // under way, by this or by somebody else's word
+			m.settle(now, in)
+			continue
+		case c.State != Open || !in.Phase.Down():
+			continue
+		case m.unitFor(now, c, in), plants.ignore:
+		case !alone && m.unheard != 0 && now-m.unheard >= aloneAfter:
+			alone, in.Unit.Alone = true, true
+			m.note(now, in, "starts without the ledger", fmt.Sprintf("it has not answered for %d ms", (now-m.unheard)/1000))
+		default:
+			if asked++; asked >= asksOfRise {
+				return
+			}
+			continue
+		}
+		c.Out[n] = true
+		m.recycle(now, in)
+		in.Unit.Began = now
+		m.changed(c)
+		m.advance(now, in)
+	}
+}
+
+// risen is how a start came out that held a unit.
+func (in *Instance) risen(now Micros) rise.End {
+	e := rise.End{Warm: in.usable(now), Cause: in.Cause}
+	if e.Warm && in.Unit.Began > 0 {
+		e.Took = rise.Micros(max(0, in.Steady-in.Unit.Began))
+	}
+	return e
+}
+
+// tellRise has the ledger hear that one is up that never asked for a unit: as if it gave one back.
+func (in *Instance) tellRise(c *Command) {
+	if c.Kind == Rise && in.Unit.Turn == "" {
+		in.Unit = Unit{Budget: c.Budget, Turn: c.ID + "." + in.Name + ".0", For: c.ID, Held: true}
+	}
+}
--- /dev/null
+++ b/fleet/rise_test.go
@@ -0,0 +1,215 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"milletbarrow/manage/budget"
+	"milletbarrow/manage/rise"
+)
+
+// site is some hosts' machines and one ledger, as it is in installations, that they can or can't reach.
+type site struct {
+	t      tester
+	spec   *Spec
+	ledger *budget.Ledger
+	hosts  []*world
+	cut    map[*world]bool
+	later  map[*world][]Event // what the ledger answered
+	most   int                // starting or warming at once, ever
+	begun  map[string]bool
+}
+
+func newSite(t tester, hosts, each, whole int) *site {
+	text := "(fleet f"
+	names := ""
+	for h := range hosts {
+		text += fmt.Sprintf(` (host h%d (agent "unix:/tmp/h%d") (peer "127.0.0.1:%d"))`, h+1, h+1, 7000+h)
+		names += fmt.Sprintf(" h%d", h+1)
+	}
+	for h := range hosts {
+		text += fmt.Sprintf(` (group g%d (host h%d) (config "%%n.json") (start-within 5s) (settle 1s) (range g%d-n 1 %d) (restart (most 3) (within 1m)))`, h, h+1, h, each)
+	}
+	if hosts == 2 { // a group of two is none
+		names = " h1"
+	}
+	text += fmt.Sprintf(" (budgets (ledger%s) (budget starts (count %d) (alone yes))) (rise (budget starts) (failures 100)))", names, whole)
+	s := &site{t: t, spec: spec(t, text), ledger: budget.NewLedger(), cut: map[*world]bool{}, later: map[*world][]Event{}, begun: map[string]bool{}}
+	s.ledger.Apply(budget.Command{Terms: s.spec.Budgets})
+	for h := range hosts {
+		w := newWorldAt(t, s.spec, fmt.Sprint("h", h+1))
+		w.lose = func(step Step) bool { return s.unit(w, step) }
+		s.hosts = append(s.hosts, w)
+	}
+	return s
+}
+
+// unit takes a step about units to the ledger, as an agent would.
+func (s *site) unit(w *world, step Step) bool {
+	turn := &budget.Take{Budget: step.Unit.Budget, Name: step.Name, Host: w.host, Turn: step.ID}
+	switch {
+	case step.What != TakeUnit && step.What != GiveUnit:
+		return false
+	case s.cut[w]:
+	case step.What == GiveUnit:
+		turn.End = &step.End
+		s.ledger.Apply(budget.Command{Give: turn})
+		s.later[w] = append(s.later[w], UnitGiven{step.Name, step.ID})
+	default:
+		r := s.ledger.Apply(budget.Command{Take: turn})
+		s.later[w] = append(s.later[w], UnitTaken{HeldUnit{step.Name, step.Unit.Budget, step.ID}, r.No == "", r.No})
+	}
+	return true
+}
+
+// pass lets time go by everywhere.
+func (s *site) pass(span Micros) {
+	for end := s.hosts[0].now + span; s.hosts[0].now < end; {
+		for _, w := range s.hosts {
+			w.pass(100_000, nil)
+			for _, ev := range s.later[w] {
+				w.do(ev)
+			}
+			s.later[w] = nil
+		}
+		starting := 0
+		for _, w := range s.hosts {
+			for n, l := range w.lives {
+				if in, _ := w.m.Instance(n); l.alive && s.begun[n] && w.now-l.since < w.cold+second && in.Phase != Absent {
+					starting++
+				}
+			}
+		}
+		s.most = max(s.most, starting)
+	}
+}
+
+func (s *site) rise(id string) {
+	var members []rise.Member
+	for _, in := range s.spec.Of("") {
+		members = append(members, rise.Member{Name: in.Name, Group: in.Group, Host: in.Host})
+	}
+	s.ledger.Apply(budget.Command{Rise: &budget.Rise{Budget: "starts", ID: id, Terms: s.spec.Rise, Members: members, By: "test"}})
+	for _, w := range s.hosts {
+		for _, n := range w.m.Names() {
+			s.begun[n] = s.begun[n] || !w.lives[n].alive
+		}
+		w.order(id, Rise, 600*second, w.m.Names()...)
+	}
+}
+
+func (s *site) up() (n int) {
+	for _, w := range s.hosts {
+		for _, l := range w.lives {
+			if l.ready {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// TestRise: whichever agents die and whoever can't reach the ledger, no more start at once over all hosts than may, and once
+// that is over all are up, the rise is over, and nobody holds a unit.
+func TestRise(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts, each := rapid.SampledFrom([]int{1, 2, 3, 5}).Draw(t, "hosts"), rapid.IntRange(1, 6).Draw(t, "each")
+		whole := hosts + rapid.IntRange(1, 6).Draw(t, "more")
+		s := newSite(t, hosts, each, whole)
+		if rapid.Bool().Draw(t, "some serve") {
+			s.hosts[0].order("up", Start, 60*second, s.hosts[0].m.Names()[0])
+			s.pass(3 * second)
+		}
+		launched := s.hosts[0].launch[s.hosts[0].m.Names()[0]]
+		s.rise("r")
+		died := map[string]bool{}
+		for range rapid.IntRange(0, 12).Draw(t, "faults") {
+			w := rapid.SampledFrom(s.hosts).Draw(t, "host")
+			switch rapid.IntRange(0, 3).Draw(t, "fault") {
+			case 0:
+				w.restart()
+			case 1:
+				w.dieNext = true
+			case 2:
+				s.cut[w] = !s.cut[w]
+			case 3:
+				if n := rapid.SampledFrom(w.m.Names()).Draw(t, "name"); w.lives[n].alive && !w.lives[n].ready && !died[n] {
+					w.lives[n].die(End{Code: 1})
+					died[n] = true
+				}
+			}
+			s.pass(Micros(rapid.IntRange(1, 60).Draw(t, "span")) * 100_000)
+		}
+		for _, w := range s.hosts {
+			s.cut[w], w.dieNext = false, false
+		}
+		s.pass(180 * second)
+		if s.most > whole {
+			t.Fatalf("%d started at once, %d may", s.most, whole)
+		}
+		if n := s.up(); n != hosts*each {
+			t.Fatalf("%d of %d are up: %+v", n, hosts*each, s.ledger.Risings())
+		}
+		for _, r := range s.ledger.Risings() {
+			if !r.Over {
+				t.Fatalf("the rise is not over: %+v", r)
+			}
+		}
+		if held := len(s.ledger.Counts["starts"]); held > 0 {
+			t.Fatalf("%d units are held: %+v", held, s.ledger.Counts)
+		}
+		if n := s.hosts[0].launch[s.hosts[0].m.Names()[0]]; launched > 0 && n != launched {
+			t.Fatalf("one that served was launched again")
+		}
+	})
+}
+
+// TestRiseAlone: with the ledger out of reach for good each host brings its own up, one at a time.
+func TestRiseAlone(t *testing.T) {
+	s := newSite(t, 3, 4, 9)
+	for _, w := range s.hosts {
+		s.cut[w] = true
+	}
+	s.rise("r")
+	s.pass(4 * second)
+	if n := s.up(); n != 0 {
+		t.Errorf("%d started before anybody could know that the ledger is away", n)
+	}
+	s.pass(40 * second)
+	if n := s.up(); n != 12 || s.most > 3 {
+		t.Errorf("%d of 12 are up, %d started at once, one a host may", n, s.most)
+	}
+}
+
+// TestRiseStops: a release of which each start fails stops after its failures, says so, and goes on at an operator's word.
+func TestRiseStops(t *testing.T) {
+	s := newSite(t, 3, 10, 12)
+	s.spec.Rise.Failures = 4
+	for _, w := range s.hosts {
+		for _, l := range w.lives {
+			l.neverReady = true
+		}
+	}
+	s.rise("r")
+	s.pass(120 * second)
+	began := 0
+	for _, w := range s.hosts {
+		began += len(w.launch)
+	}
+	r := s.ledger.Risings()[0]
+	if r.Halted == "" || began > 12 {
+		t.Errorf("halted %q, %d of 30 were tried", r.Halted, began)
+	}
+	for _, w := range s.hosts {
+		for _, l := range w.lives {
+			l.neverReady = false
+		}
+	}
+	s.ledger.Apply(budget.Command{Rise: &budget.Rise{Budget: "starts", ID: "r", Verb: "go-on", By: "test"}})
+	s.pass(120 * second)
+	if n := s.up(); n < 20 {
+		t.Errorf("%d are up after the cause was mended: %+v", n, s.ledger.Risings())
+	}
+}
--- a/fleet/spec.go
+++ b/fleet/spec.go
@@ -17,6 +17,7 @@
 
 	"milletbarrow/limit"
 	"milletbarrow/manage/budget"
+	"milletbarrow/manage/rise"
 	"milletbarrow/sexp"
 )
 
@@ -34,6 +35,8 @@
 	Groups     []GroupSpec
 	Wave       WaveTerms     // what a wave has if its command does not say
 	WaveBudget string        // the count of which each instance that a wave has out holds a unit; empty: none
+	Rise       *rise.Terms   // nil: none can be asked for
+	RiseBudget string        // the count of which each that starts in a rise holds a unit until it is warm
 	Budgets    *budget.Terms // nil: nothing is shared
 	Ledger     []string      // hosts whose agents keep it
 	instances  map[string]*InstanceSpec
@@ -201,6 +204,9 @@
 	if b := f.Field("budgets"); b != nil {
 		s.readBudgets(b)
 	}
+	if r := f.Field("rise"); r != nil {
+		s.readRise(r)
+	}
 	if s.WaveBudget != "" && !s.counts(s.WaveBudget) {
 		f.Fail("wave", "budget %q is no count of this file", s.WaveBudget)
 	}
--- a/fleet/unit.go
+++ b/fleet/unit.go
@@ -15,6 +15,9 @@
 	Held   bool   `json:"held,omitempty"` // else it is asked for
 	Next   Micros `json:"next,omitempty"` // no call before
 	Why    string `json:"why,omitempty"`  // it was not given
+
+	Alone bool   `json:"alone,omitempty"` // the one that is set aside for this host, as nobody could be asked
+	Began Micros `json:"began,omitempty"` // Rise: the start that holds it
 }
 
 // The steps about units. They go to the ledger, not to a keeper, and may be taken twice.
@@ -63,6 +66,9 @@
 	}
 	if !in.Unit.Held && in.Unit.For == c.ID && now >= in.Unit.Next {
 		in.Unit.Next = now + unitAgain + Micros(m.draw.Int64N(unitAgain/2))
+		if m.unheard == 0 {
+			m.unheard = now
+		}
 		m.steps = append(m.steps, Step{Name: in.Name, ID: in.Unit.Turn, What: TakeUnit, Unit: in.Unit})
 	}
 	return false
@@ -71,7 +77,7 @@
 // needs tells whether a wave still has use for the unit that it asked for.
 func (m *Machine) needs(in *Instance) bool {
 	c := m.commands[in.Unit.For]
-	if c == nil || c.Kind != Wave || !slices.Contains(c.Names, in.Name) {
+	if c == nil || c.Kind != Wave && c.Kind != Rise || !slices.Contains(c.Names, in.Name) {
 		return false
 	}
 	_, over := c.Results[in.Name]
@@ -88,22 +94,25 @@
 	u := &in.Unit
 	switch {
 	case u.Turn == "" || m.needs(in):
-	case !u.Held: // if it is given all the same, the ledger's list tells
+	case !u.Held && !u.Alone: // if it is given all the same, the ledger's list tells
 		*u = Unit{}
 		m.touch(in)
-	case in.back(now) && now >= u.Next:
+	case (in.back(now) || u.Began > 0 && in.Spent) && now >= u.Next:
 		u.Next = now + unitAgain
-		m.steps = append(m.steps, Step{Name: in.Name, ID: u.Turn, What: GiveUnit, Unit: *u})
+		m.steps = append(m.steps, Step{Name: in.Name, ID: u.Turn, What: GiveUnit, Unit: *u, End: in.risen(now)})
 	}
 }
 
 func (m *Machine) unitTaken(now Micros, in *Instance, e UnitTaken) {
 	u := &in.Unit
+	m.unheard = 0
 	switch {
 	case u.Turn != e.Turn:
 		if e.Held {
 			m.strayUnit(now, in, e.HeldUnit)
 		}
+	case u.Alone: // it began meanwhile
+		u.Held = e.Held
 	case e.Held:
 		u.Held, u.Next, u.Why = true, now, ""
 		m.note(now, in, "unit taken", u.Budget)
@@ -119,7 +128,7 @@
 // strayUnit gives back what is held for a turn that nobody remembers, once the instance is there.
 func (m *Machine) strayUnit(now Micros, in *Instance, h HeldUnit) {
 	if in.back(now) {
-		m.steps = append(m.steps, Step{Name: in.Name, ID: h.Turn, What: GiveUnit, Unit: Unit{Budget: h.Budget, Turn: h.Turn, Held: true}})
+		m.steps = append(m.steps, Step{Name: in.Name, ID: h.Turn, What: GiveUnit, Unit: Unit{Budget: h.Budget, Turn: h.Turn, Held: true}, End: in.risen(now)})
 	}
 }
 
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -38,7 +38,8 @@
 	lose    func(Step) bool // the step does not reach its keeper
 	check   func([]Step)
 	cold    Micros
-	dieNext bool      // the agent dies between writing down and acting
+	dieNext bool // the agent dies between writing down and acting
+	host    string
 	old     []Sighted // what was seen before, some of it of lives that are over
 }
 
@@ -57,11 +58,15 @@
 }
 
 func newWorld(t tester, s *Spec) *world {
+	return newWorldAt(t, s, "h1")
+}
+
+func newWorldAt(t tester, s *Spec, host string) *world {
 	w := &world{
-		t: t, spec: s, now: 1000 * second, lives: map[string]*life{}, taken: map[string]bool{}, launch: map[string]int{},
+		t: t, spec: s, host: host, now: 1000 * second, lives: map[string]*life{}, taken: map[string]bool{}, launch: map[string]int{},
 		cold: second / 2,
 	}
-	w.m = New(s, "h1", testTerms(), window)
+	w.m = New(s, host, testTerms(), window)
 	for _, n := range w.m.Names() {
 		w.lives[n] = &life{}
 	}
@@ -119,7 +124,7 @@
 
 // restart is the agent's death and return: what was not written down is lost.
 func (w *world) restart() {
-	w.m = New(w.spec, "h1", testTerms(), window)
+	w.m = New(w.spec, w.host, testTerms(), window)
 	w.m.Restore(w.now, Record{w.saved.Instances, w.saved.Commands}, false)
 }
 
@@ -223,9 +228,12 @@
 
 func (w *world) order(id string, kind Kind, within Micros, names ...string) error {
 	c := &Command{ID: id, Kind: kind, Names: names, By: "test", Due: w.now + within}
-	if kind == Wave {
+	switch kind {
+	case Wave:
 		terms := w.spec.Wave
 		c.Terms = &terms
+	case Rise:
+		c.Budget = w.spec.RiseBudget
 	}
 	return w.do(Ordered{c})
 }
--- a/manage/budget/ledger.go
+++ b/manage/budget/ledger.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 
+	"milletbarrow/manage/rise"
 	"milletbarrow/serve/share"
 )
 
@@ -75,8 +76,9 @@
 	Terms  Terms                     `json:"terms"`
 	Lives  map[string]*Life          `json:"lives"` // by name and life
 	Counts map[string]map[string]Out `json:"counts"`
-	Ended  map[string][]string       `json:"ended"`  // by budget and name, the latest turns
-	Forgot uint64                    `json:"forgot"` // how often a holder knew of an epoch that this ledger does not
+	Ended  map[string][]string       `json:"ended"`           // by budget and name, the latest turns
+	Rises  map[string]*rise.State    `json:"rises,omitempty"` // by count: who of a rise may hold a unit of it
+	Forgot uint64                    `json:"forgot"`          // how often a holder knew of an epoch that this ledger does not
 
 	sums map[string]*sum            // by rate; made anew from the rest
 	of   map[string][]string        // keys of lives, by name
@@ -94,7 +96,7 @@
 
 // NewLedger is an empty one.
 func NewLedger() *Ledger {
-	l := &Ledger{Lives: map[string]*Life{}, Counts: map[string]map[string]Out{}, Ended: map[string][]string{}}
+	l := &Ledger{Lives: map[string]*Life{}, Counts: map[string]map[string]Out{}, Ended: map[string][]string{}, Rises: map[string]*rise.State{}}
 	l.Restored()
 	return l
 }
@@ -102,6 +104,9 @@
 // Restored has a ledger that was read back count its sums.
 func (l *Ledger) Restored() {
 	l.sums, l.of, l.at = map[string]*sum{}, map[string][]string{}, map[string]map[string]bool{}
+	for _, s := range l.Rises {
+		s.Restored()
+	}
 	for _, key := range sortedKeys(l.Lives) {
 		life := l.Lives[key]
 		l.of[life.Name] = append(l.of[life.Name], key)
@@ -190,6 +195,7 @@
 	Take   *Take    `json:"take,omitempty"`
 	Give   *Give    `json:"give,omitempty"`
 	Off    *Off     `json:"write_off,omitempty"`
+	Rise   *Rise    `json:"rise,omitempty"`
 	Divide bool     `json:"divide,omitempty"` // it is time to divide anew; the leader's clock says so
 	Hold   bool     `json:"hold,omitempty"`   // nothing may grow now: grants that this ledger never knew may be in force
 	By     string   `json:"by,omitempty"`
@@ -221,6 +227,8 @@
 	Name   string `json:"name"`
 	Host   string `json:"host"`
 	Turn   string `json:"turn"`
+
+	End *rise.End `json:"end,omitempty"` // of a unit given back: how a start came out
 }
 
 // Give gives a unit back.
@@ -281,6 +289,9 @@
 	if c.Off != nil {
 		l.off(c.Off, &r)
 	}
+	if c.Rise != nil {
+		l.rise(c.Rise, &r)
+	}
 	return r
 }
 
@@ -598,8 +609,9 @@
 		r.No = fmt.Sprintf("%s holds one already, for %s at %s", c.Name, o.Turn, o.Host)
 	case slices.Contains(l.Ended[c.Budget+" "+c.Name], c.Turn):
 		r.No = fmt.Sprintf("turn: %q of %s has ended", c.Turn, c.Name)
-	case int64(len(out)) >= b.Whole || len(out) >= mostOut || len(l.Ended) >= mostOut:
-		r.No = fmt.Sprintf("all %d are held", b.Whole)
+	case int64(len(out)) >= b.Whole-b.Aside || len(out) >= mostOut || len(l.Ended) >= mostOut:
+		r.No = fmt.Sprintf("all %d are held", b.Whole-b.Aside)
+	case !l.mayRise(c, r):
 	default:
 		out[c.Name] = Out{c.Budget, c.Name, c.Host, c.Turn, l.Serial}
 	}
@@ -610,6 +622,7 @@
 		delete(l.Counts[c.Budget], c.Name)
 		l.turned(c.Budget, c.Name, c.Turn)
 	}
+	l.roseOrNot(c, r)
 }
 
 func (l *Ledger) turned(budget, name, turn string) {
@@ -628,6 +641,9 @@
 	for _, b := range sortedKeys(l.Counts) {
 		if o, has := l.Counts[b][c.Name]; has {
 			known = true
+			if s := l.Rises[b]; s != nil {
+				s.Lost(c.Name)
+			}
 			delete(l.Counts[b], c.Name)
 			l.turned(b, c.Name, o.Turn)
 			r.Notes = append(r.Notes, Note{Budget: b, Name: c.Name, Event: "unit over", Cause: "written off by " + c.By})
@@ -703,4 +719,5 @@
 	Members []string `json:"members"`
 	Hold    bool     `json:"hold,omitempty"` // nothing grows now: grants may be in force that this ledger forgot
 	Budgets []Use    `json:"budgets"`
+	Rises   []Rising `json:"rises,omitempty"`
 }
--- a/manage/budget/terms.go
+++ b/manage/budget/terms.go
@@ -46,6 +46,7 @@
 	Lease  Micros           `json:"lease_us,omitempty"`
 	Margin Micros           `json:"margin_us,omitempty"` // for clocks that run apart, over a whole lease
 	Tenant string           `json:"tenant,omitempty"`    // whose work draws
+	Aside  int64            `json:"aside,omitempty"`     // units of a count that hosts may use without asking, one each
 }
 
 // Terms are all budgets of a fleet. A higher version replaces a lower one.
@@ -90,6 +91,8 @@
 		return "", fmt.Errorf("wanted (rate UNITS-A-SECOND) or (count UNITS)")
 	case b.Whole < 1 || b.Whole > share.Most:
 		return string(b.Kind), fmt.Errorf("%d is not from 1 to %d", b.Whole, int64(share.Most))
+	case b.Kind == Count && (b.Aside < 0 || b.Aside >= b.Whole):
+		return string(b.Kind), fmt.Errorf("%d leaves nothing to ask for: one each is set aside for %d hosts", b.Whole, b.Aside)
 	case b.Kind == Count:
 		return "", nil
 	case floors > b.Whole:
@@ -112,7 +115,7 @@
 		same := maps.Equal(a.Floors, b.Floors) && maps.Equal(a.Weight, b.Weight)
 		a.Floors, a.Weight, b.Floors, b.Weight = nil, nil, nil, nil
 		return same && a.Name == b.Name && a.Kind == b.Kind && a.Whole == b.Whole && a.Divide == b.Divide && a.Step == b.Step &&
-			a.Lease == b.Lease && a.Margin == b.Margin && a.Tenant == b.Tenant
+			a.Lease == b.Lease && a.Margin == b.Margin && a.Tenant == b.Tenant && a.Aside == b.Aside
 	})
 }
 
--- a/manage/ledger/ledger.go
+++ b/manage/ledger/ledger.go
@@ -500,7 +500,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	v.Leader, v.Term, v.Version, v.Hold = n.o.Host, r.CurrentTerm(), n.truth.Terms.Version, n.clerk.Hold(n.o.Clock())
-	v.Budgets = n.truth.Uses()
+	v.Budgets, v.Rises = n.truth.Uses(), n.truth.Risings()
 	n.clerk.Left(n.o.Clock(), n.truth, v.Budgets)
 	return v, n.o.Host, true, nil
 }
--- a/operate/shared.go
+++ b/operate/shared.go
@@ -7,6 +7,7 @@
 
 	"milletbarrow/control"
 	"milletbarrow/fleet"
+	"milletbarrow/manage/budget"
 	"milletbarrow/manage/member"
 )
 
@@ -35,6 +36,11 @@
 	return t.any(ctx, func(c *control.Client) error { return c.WriteOff(ctx, name, t.By) })
 }
 
+// Rise begins a rise at the ledger, or says a word about one.
+func (t *Tool) Rise(ctx context.Context, r budget.Rise) error {
+	return t.any(ctx, func(c *control.Client) error { return c.Rise(ctx, r) })
+}
+
 // HostMembers is one agent's judgement of all, or why there is none.
 type HostMembers struct {
 	Host  string        `json:"host"`
--- a/trial/ground/ground.go
+++ b/trial/ground/ground.go
@@ -256,7 +256,7 @@
 			}
 		}
 	}
-	cmd.Env = append(os.Environ(), "MILLETBARROW_STAMPS="+filepath.Join(g.site.Dir, "stamps"), "MILLETBARROW_PLANT="+g.o.Plant,
+	cmd.Env = append(os.Environ(), "MILLETBARROW_STAMPS="+filepath.Join(g.site.Dir, "stamps"), "MILLETBARROW_PLANT="+plantAt(g.o.Plant, h.name),
 		"MILLETBARROW_POINTS="+filepath.Join(g.site.Dir, "points", h.name), "MILLETBARROW_TRIAL_CLOCK="+strconv.Itoa(skew))
 	if c := g.o.Table.Cold; c != nil && c.Fixed {
 		cmd.Env = append(cmd.Env, "MILLETBARROW_REPORTS_FIXED=true")
@@ -280,6 +280,14 @@
 	return nil
 }
 
+// plantAt is the fault that is planted at a host: PLANT everywhere, PLANT@HOST at one.
+func plantAt(plant, host string) string {
+	if name, at, one := strings.Cut(plant, "@"); !one || at == host {
+		return name
+	}
+	return ""
+}
+
 func (h *host) killAgent() {
 	if h.cmd != nil {
 		h.cmd.Process.Kill()
