Rises rest after falls in a row, and ways of coming up played at 330 to 5,000 hosts

Found in the model: with its bound twice too high a rise never got out of one fall of the service below. At a pace of one it was called every second, and it gets well only if it is left alone for 5 s; rise.State.Ended knew no pause. From the second fall in a row on nothing starts for 2 s, twice as long each time, up to a minute; the ledger's leader counts it by its own clock (Clerk.Rested), and all that fell together counts once towards the halt.

--- a/cmd/milletbarrow/lab.go
+++ b/cmd/milletbarrow/lab.go
@@ -29,7 +29,7 @@
 		Description: "Example:\n   milletbarrow lab run docs/studies/wording.sx --dir /tmp/wording\n" +
 			"   milletbarrow lab compare docs/studies/wording.sx --dir /tmp/wording pool milletbarrow",
 		Commands: []*cli.Command{
-			labCheckCommand(), labRunCommand(), labCompareCommand(), labPlotCommand(), labReplayCommand(), labPoliciesCommand(), labTwinCommand(), labSpeedCommand(),
+			labCheckCommand(), labRunCommand(), labCompareCommand(), labPlotCommand(), labReplayCommand(), labPoliciesCommand(), labTwinCommand(), labSpeedCommand(), labRiseCommand(),
 		},
 	}
 }
--- a/fleet/budgets.go
+++ b/fleet/budgets.go
@@ -122,7 +122,7 @@
 func (s *Spec) readRise(f *sexp.Form) {
 	s.RiseBudget = f.Text("budget", "")
 	t := &rise.Terms{
-		Least: f.Share("least", 0, 1, 0.1), Failures: int64(f.Int("failures", 1, 100_000, 5)), Slow: f.Share("slow", 1, 1000, 3),
+		Least: f.Share("least", 0, 1, 0.1), Failures: int64(f.Int("failures", 1, 100_000, 8)), Slow: f.Share("slow", 1, 1000, 3),
 		Refused: f.Share("refused", 0, 1, 0.1), First: int64(f.Int("first", 0, 100_000, 0)),
 	}
 	f.Done()
--- a/fleet/rise_test.go
+++ b/fleet/rise_test.go
@@ -15,6 +15,7 @@
 	t      tester
 	spec   *Spec
 	ledger *budget.Ledger
+	clerk  budget.Clerk
 	hosts  []*world
 	cut    map[*world]bool
 	later  map[*world][]Event // what the ledger answered
@@ -74,6 +75,9 @@
 			}
 			s.later[w] = nil
 		}
+		if over := s.clerk.Rested(budget.Micros(s.hosts[0].now), s.ledger); len(over) > 0 {
+			s.ledger.Apply(budget.Command{Rested: over})
+		}
 		starting := 0
 		for _, w := range s.hosts {
 			for n, l := range w.lives {
--- a/manage/budget/clerk.go
+++ b/manage/budget/clerk.go
@@ -14,7 +14,8 @@
 	divided Micros
 	hold    Micros // nothing may grow before
 	forgot  uint64
-	found   bool // grants from before the election were looked at
+	rests   map[string]resting // of rises, by budget
+	found   bool               // grants from before the election were looked at
 }
 
 type ref struct {
--- a/manage/budget/ledger.go
+++ b/manage/budget/ledger.go
@@ -196,6 +196,7 @@
 	Give   *Give    `json:"give,omitempty"`
 	Off    *Off     `json:"write_off,omitempty"`
 	Rise   *Rise    `json:"rise,omitempty"`
+	Rested []Rested `json:"rested,omitempty"` // rests of rises that the leader has counted
 	Divide bool     `json:"divide,omitempty"` // it is time to divide anew; the leader's clock says so
 	Hold   bool     `json:"hold,omitempty"`   // nothing may grow now: grants that this ledger never knew may be in force
 	By     string   `json:"by,omitempty"`
@@ -292,6 +293,11 @@
 	if c.Rise != nil {
 		l.rise(c.Rise, &r)
 	}
+	for _, w := range c.Rested {
+		if s := l.Rises[w.Budget]; s != nil && s.ID == w.ID {
+			s.Rested(w.Number)
+		}
+	}
 	return r
 }
 
--- a/manage/budget/rising.go
+++ b/manage/budget/rising.go
@@ -111,3 +111,37 @@
 	}
 	return all
 }
+
+// Rested is a rest of a rise that is over.
+type Rested struct {
+	Budget string `json:"budget"`
+	ID     string `json:"id"`
+	Number uint64 `json:"number"`
+}
+
+// Rested lists the rests that have lasted as long as they are to, by the leader's own clock: from when it first looked at
+// them, so that a new leader counts anew.
+func (c *Clerk) Rested(now Micros, l *Ledger) (over []Rested) {
+	for _, b := range sortedKeys(l.Rises) {
+		s := l.Rises[b]
+		if s.Rest == 0 {
+			delete(c.rests, b)
+			continue
+		}
+		w := Rested{b, s.ID, s.RestNo}
+		if seen, known := c.rests[b]; !known || seen.Rested != w {
+			if c.rests == nil {
+				c.rests = map[string]resting{}
+			}
+			c.rests[b] = resting{w, now}
+		} else if now-seen.since >= s.Rest {
+			over = append(over, w)
+		}
+	}
+	return over
+}
+
+type resting struct {
+	Rested
+	since Micros
+}
--- a/manage/ledger/ledger.go
+++ b/manage/ledger/ledger.go
@@ -276,12 +276,13 @@
 		n.mu.Lock()
 		over, divide := n.clerk.Due(n.o.Clock(), n.truth)
 		var c budget.Command
+		c.Rested = n.clerk.Rested(n.o.Clock(), n.truth)
 		c.Lapse, c.Divide = over, divide && n.truth.Terms.Version > 0
 		if n.terms != nil && n.terms.Version > n.truth.Terms.Version {
 			c.Terms = n.terms
 		}
 		n.mu.Unlock()
-		if len(c.Lapse) > 0 || c.Divide || c.Terms != nil {
+		if len(c.Lapse) > 0 || len(c.Rested) > 0 || c.Divide || c.Terms != nil {
 			if res, err := n.propose(r, c); err == nil && res.No != "" && c.Terms != nil {
 				slog.Warn("budgets", "used", false, "why", res.No)
 				n.mu.Lock()
--- a/manage/rise/rise.go
+++ b/manage/rise/rise.go
@@ -9,6 +9,9 @@
 	"fmt"
 	"math"
 	"slices"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
 
 	"milletbarrow/serve/share"
 )
@@ -21,7 +24,7 @@
 	Most     int64   `json:"most"`     // starting or warming at once, over all hosts
 	First    int64   `json:"first"`    // at its beginning
 	Least    float64 `json:"least"`    // part of each group that comes first
-	Failures int64   `json:"failures"` // in a row, without one that came up between them; then it stops
+	Failures int64   `json:"failures"` // falls in a row, without a start between them that came up; then it stops
 	Slow     float64 `json:"slow"`     // a start that takes so many times as long as the quickest of its group says that it is crowded
 	Refused  float64 `json:"refused"`  // and so does a share of calls below, or to the register, that is refused
 }
@@ -57,6 +60,9 @@
 	MostMembers = 20_000
 	asksKept    = 64 // numbers between an ask and now, after which whoever asked is not waited for: its agent may be dead
 	pacePart    = 1000
+
+	restFrom = 2 // falls in a row
+	restMost = time.Minute
 )
 
 // End is how a start came out, or what became of one that came up.
@@ -87,7 +93,9 @@
 	Pace   int64             `json:"pace"` // how many may be under way now, in thousandths
 	Cut    uint64            `json:"cut"`  // what was started before says no more about the pace of now
 	Grown  bool              `json:"grown"`
-	Row    int64             `json:"row"` // failures since the last that came up
+	Row    int64             `json:"row"`               // falls since the last that came up
+	Rest   Micros            `json:"rest_us,omitempty"` // nothing starts until the ledger's leader has counted as long
+	RestNo uint64            `json:"rest_no,omitempty"`
 	Best   map[string]Micros `json:"best"`
 	Halted string            `json:"halted,omitempty"` // why nothing more is started
 	Cause  string            `json:"cause"`            // of the pace
@@ -195,6 +203,9 @@
 	s.Asks++
 	s.Asked[name] = s.Asks
 	delete(s.Failed, name)
+	if s.Rest > 0 {
+		return false, fmt.Sprintf("nothing starts for %d ms, so that what failed can get well: %s", s.Rest/1000, s.Cause)
+	}
 	room := s.Pace/pacePart - int64(len(s.Under))
 	if room < 1 {
 		return false, fmt.Sprintf("%d are under way, %d may be: %s", len(s.Under), s.Pace/pacePart, s.Cause)
@@ -247,10 +258,14 @@
 	switch {
 	case !e.Warm:
 		s.Failed[name] = e.Cause
-		s.Row++
-		s.down(start, fmt.Sprintf("%s did not come up: %s", name, e.Cause))
-		if s.Row >= s.Terms.Failures && s.Halted == "" {
-			s.Halted = fmt.Sprintf("%d starts in a row came to nothing, the last: %s: %s", s.Row, name, e.Cause)
+		if !s.down(start, fmt.Sprintf("%s did not come up: %s", name, e.Cause)) {
+			break // it fell with others
+		}
+		switch s.Row++; {
+		case s.Row >= s.Terms.Failures && s.Halted == "":
+			s.Halted = fmt.Sprintf("starts came to nothing %d times in a row, the last: %s: %s", s.Row, name, e.Cause)
+		case s.Row >= restFrom:
+			s.Rest, s.RestNo = rest(s.Row-restFrom), s.RestNo+1
 		}
 	case e.Refused > s.Terms.Refused:
 		s.up(name)
@@ -282,23 +297,42 @@
 func (s *State) up(name string) {
 	s.Warm[name] = true
 	delete(s.Failed, name)
-	s.Row = 0
+	s.Row, s.Rest = 0, 0
 }
 
 // down halves the pace, unless the sign comes from before the last time.
-func (s *State) down(start Start, cause string) {
+func (s *State) down(start Start, cause string) bool {
 	if start.Number <= s.Cut {
-		return
+		return false
 	}
 	s.Cut, s.Grown = s.Starts, true
 	s.Pace = max(pacePart, s.Pace/2)
 	s.Cause = cause
+	return true
+}
+
+// rest is how long nothing starts after so many falls more: what is below may only get well if it is left alone, and one
+// start at a time would keep it ill for ever.
+func rest(n int64) Micros {
+	b := &backoff.ExponentialBackOff{InitialInterval: 2 * time.Second, Multiplier: 2, MaxInterval: restMost}
+	d := b.NextBackOff()
+	for ; n > 0 && d < restMost; n-- {
+		d = b.NextBackOff()
+	}
+	return Micros(d.Microseconds())
+}
+
+// Rested ends a rest, once the ledger's leader has counted it by its own clock.
+func (s *State) Rested(no uint64) {
+	if no == s.RestNo {
+		s.Rest = 0
+	}
 }
 
 // GoOn takes a halt back, at an operator's word.
 func (s *State) GoOn() {
-	s.Halted, s.Row = "", 0
-	s.Pace, s.Cut, s.Cause = max(pacePart, min(s.Pace, s.Terms.First*pacePart)), s.Starts, "an operator had it go on"
+	s.Halted, s.Row, s.Rest = "", 0, 0
+	s.Pace, s.Cut, s.Cause = s.Terms.First*pacePart, s.Starts, "an operator had it go on"
 }
 
 // Lost has a start count no more whose end nobody will tell: an operator wrote it off.
--- /dev/null
+++ b/model/rising/study.go
@@ -0,0 +1,161 @@
+package rising
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"runtime"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"milletbarrow/fleet"
+	"milletbarrow/limit"
+	"milletbarrow/roster/pace"
+	"milletbarrow/trial/cold"
+)
+
+// Default are terms as installations have them: a register that refuses for ten seconds, and a service below that falls
+// over when a tenth of all call it at once, and only gets well if it is left alone for five seconds.
+func Default(backends int) Terms {
+	b := limit.For(1, 192, 1024)
+	of := func(d time.Duration) pace.Micros { return pace.Micros(d.Microseconds()) }
+	return Terms{
+		Backends: backends, Hosts: max(1, backends/30), Starts: time.Second, Cores: 6, For: 120 * time.Second,
+		Register: cold.Register{Phases: []cold.Phase{{Mode: cold.Refuses, Takes: 10 * time.Millisecond}, {From: 10 * time.Second, Mode: cold.Takes, Takes: 10 * time.Millisecond}}},
+		Below:    Below{Takes: 200 * time.Millisecond, Crowd: max(2, backends/30), Bound: max(4, backends/10), Needs: 5 * time.Second},
+		Reports: pace.Terms{
+			Usual: of(b.Report), Lapse: of(b.Lapse), Least: of(b.ReportLeast), Closed: of(b.ReportClosed), First: of(b.ReportFirst),
+			Most: of(b.ReportMost), Advice: of(b.ReportAdvice), OnWay: b.Reports,
+		},
+		Relaunch: fleet.DefaultTerms(limit.ForControl(), 1).Relaunch,
+	}
+}
+
+// Policies are those that a study compares for so many backends: as it was, each part alone, fixed paces, and the rise.
+func Policies(backends int) []Policy {
+	return []Policy{
+		{Name: "at once, reports in step", Steady: true}, {Name: "at once", Steady: false}, {Name: "rise, reports in step", Steady: true, AtOnce: -backends / 8},
+		{Name: "fixed, a 100th", AtOnce: max(1, backends/100)}, {Name: "fixed, a 30th", AtOnce: max(1, backends/30)},
+		{Name: "fixed, a 15th", AtOnce: max(1, backends/15)}, {Name: "fixed, an 8th", AtOnce: max(1, backends/8)},
+		{Name: "fixed, a 4th", AtOnce: max(1, backends/4)}, {Name: "rise to an 8th", AtOnce: -backends / 8}, {Name: "rise to a 4th", AtOnce: -backends / 4},
+	}
+}
+
+// Row is one policy at one size, over all seeds.
+type Row struct {
+	Backends int               `json:"backends"`
+	Policy   string            `json:"policy"`
+	Figures  map[string]Figure `json:"figures"`
+	Seeds    int               `json:"seeds"`
+}
+
+// Figure is a mean with half of its 95% interval.
+type Figure struct {
+	Mean float64 `json:"mean"`
+	Half float64 `json:"half"`
+	Out  int     `json:"out,omitempty"` // courses in which it never came
+}
+
+var figures = []struct {
+	name string
+	of   func(*Course) float64
+}{
+	{"refusing", func(c *Course) float64 { return c.Refusing / c.Ordinary }}, {"first", func(c *Course) float64 { return c.First }},
+	{"peak", func(c *Course) float64 { return c.Peak }}, {"listed95_s", func(c *Course) float64 { return c.Most }},
+	{"warm50_s", func(c *Course) float64 { return c.HalfWarm }}, {"warm95_s", func(c *Course) float64 { return c.MostWarm }},
+	{"warm", func(c *Course) float64 { return float64(c.Warm) }}, {"below_fell", func(c *Course) float64 { return float64(c.BelowFell) }},
+	{"below_calls", func(c *Course) float64 { return float64(c.BelowCalls) }}, {"starting", func(c *Course) float64 { return float64(c.Starting) }},
+}
+
+// Study plays all policies at all sizes.
+func Study(sizes []int, seeds int, say func(string, ...any)) (rows []Row, err error) {
+	for _, n := range sizes {
+		for _, p := range Policies(n) {
+			courses := make([]*Course, seeds)
+			var all errgroup.Group
+			all.SetLimit(runtime.GOMAXPROCS(0))
+			for s := range seeds {
+				all.Go(func() (err error) {
+					courses[s], err = Run(Default(n), p, uint64(s+1))
+					return err
+				})
+			}
+			if err := all.Wait(); err != nil {
+				return nil, err
+			}
+			values := map[string][]float64{}
+			for _, c := range courses {
+				for _, f := range figures {
+					values[f.name] = append(values[f.name], f.of(c))
+				}
+			}
+			r := Row{Backends: n, Policy: p.Name, Seeds: seeds, Figures: map[string]Figure{}}
+			for name, v := range values {
+				r.Figures[name] = figure(v)
+			}
+			rows = append(rows, r)
+			say("%d backends, %s: done", n, p.Name)
+		}
+	}
+	return rows, nil
+}
+
+// t95 is Student's for a 95% interval, by degrees of freedom from 1.
+var t95 = []float64{12.71, 4.30, 3.18, 2.78, 2.57, 2.45, 2.36, 2.31, 2.26}
+
+func figure(all []float64) (f Figure) {
+	var v []float64
+	for _, x := range all {
+		if x < 0 {
+			f.Out++
+		} else {
+			v = append(v, x)
+		}
+	}
+	if len(v) == 0 {
+		return f
+	}
+	for _, x := range v {
+		f.Mean += x / float64(len(v))
+	}
+	if len(v) > 1 {
+		sum := 0.0
+		for _, x := range v {
+			sum += (x - f.Mean) * (x - f.Mean)
+		}
+		f.Half = t95[min(len(v)-1, len(t95))-1] * math.Sqrt(sum/float64(len(v)-1)/float64(len(v)))
+	}
+	return f
+}
+
+// Print writes a study as a table in Markdown.
+func Print(w io.Writer, rows []Row) {
+	fmt.Fprintln(w, "| backends | policy | calls while refused, of ordinary | fullest tenth after | once listed | 95 in 100 listed, s | half warm, s | 95 in 100 warm, s | warm at 120 s | below fell | calls below |")
+	fmt.Fprintln(w, "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	cell := func(r *Row, name string, digits int) string {
+		f := r.Figures[name]
+		switch {
+		case f.Out == r.Seeds:
+			return "never"
+		case f.Out > 0:
+			return fmt.Sprintf("%.*f (never in %d of %d)", digits, f.Mean, f.Out, r.Seeds)
+		}
+		return fmt.Sprintf("%.*f ± %.*f", digits, f.Mean, digits, f.Half)
+	}
+	for i := range rows {
+		r := &rows[i]
+		fmt.Fprintf(w, "| %d | %s |", r.Backends, r.Policy)
+		for _, c := range []struct {
+			name   string
+			digits int
+		}{{"refusing", 2}, {"first", 2}, {"peak", 2}, {"listed95_s", 1}, {"warm50_s", 1}, {"warm95_s", 1}, {"warm", 0}, {"below_fell", 1}, {"below_calls", 0}} {
+			fmt.Fprintf(w, " %s |", cell(r, c.name, c.digits))
+		}
+		fmt.Fprintln(w)
+	}
+}
+
+// Sizes are those of the studies on record.
+func Sizes() []int { return slices.Clone([]int{330, 1200, 5000}) }
