--- a/standin/standin.go
+++ b/standin/standin.go
@@ -399,7 +399,10 @@
 	reports = make(chan string, 1000)
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
-		reports <- fmt.Sprintf("%s %s %s", r.Method, r.URL.Path, body)
+		select {
+		case reports <- fmt.Sprintf("%s %s %s", r.Method, r.URL.Path, body):
+		default: // nobody takes them: it must not turn into a roster that never answers, and never ends
+		}
 		how(w, r)
 	}))
 	t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
