An old silence of the ledger lets nobody start alone; what a rise does not hold back

Found by reading the whole change:

- fleet.unitFor kept the time of the first unanswered ask for good.
A rise asked for an hour after one that was cancelled while the ledger was away started alone at once instead of after 5 s (TestOldSilence: 2 of 2 after two seconds, now none).
The count held all the same: the unit is set aside.

--- a/fleet/machine.go
+++ b/fleet/machine.go
@@ -42,6 +42,7 @@
 	number    int
 	service   service
 	unheard   Micros // since when asks for units have no answer; 0: the latest had one
+	askedAt   Micros // the latest such ask
 
 	steps   []Step
 	notes   []Note
@@ -264,6 +265,7 @@
 			m.unitTaken(now, in, e)
 		}
 	case UnitGiven:
+		m.unheard = 0
 		if in := m.instances[e.Name]; in != nil && in.Unit.Turn == e.Turn {
 			in.Unit = Unit{}
 			m.note(now, in, "unit given back", "")
--- a/fleet/rise_test.go
+++ b/fleet/rise_test.go
@@ -187,6 +187,25 @@
 	}
 }
 
+// TestOldSilence: that the ledger could not be reached an hour ago lets nobody start alone now.
+func TestOldSilence(t *testing.T) {
+	s := newSite(t, 1, 2, 3)
+	w := s.hosts[0]
+	s.cut[w] = true
+	s.rise("before")
+	s.pass(second)
+	w.do(Steer{"before", "cancel", "test"})
+	s.pass(3600 * second)
+	s.rise("now")
+	s.pass(2 * second)
+	if n := s.up(); n != 0 {
+		t.Errorf("%d started alone after two seconds", n)
+	}
+	if s.pass(30 * second); s.up() != 2 {
+		t.Errorf("%d of 2 are up after half a minute", s.up())
+	}
+}
+
 // TestRiseStops: a release of which each start fails stops after its failures, says so, and goes on at an operator's word.
 func TestRiseStops(t *testing.T) {
 	s := newSite(t, 3, 10, 12)
--- a/fleet/unit.go
+++ b/fleet/unit.go
@@ -54,6 +54,9 @@
 // unitAgain is between two calls about one unit: of a count that is all held the next is given back in seconds.
 const unitAgain = 300_000
 
+// askedOf is how old the latest ask may be for its silence to go on with the next.
+const askedOf = 10 * unitAgain
+
 // unitFor tells whether an instance holds a unit for a wave; else one is asked for.
 func (m *Machine) unitFor(now Micros, c *Command, in *Instance) bool {
 	if c.Budget == "" || in.Unit.Held && in.Unit.For == c.ID {
@@ -66,9 +69,10 @@
 	}
 	if !in.Unit.Held && in.Unit.For == c.ID && now >= in.Unit.Next {
 		in.Unit.Next = now + unitAgain + Micros(m.draw.Int64N(unitAgain/2))
-		if m.unheard == 0 {
+		if m.unheard == 0 || now-m.askedAt > askedOf { // a silence of before, when nobody asked, says nothing
 			m.unheard = now
 		}
+		m.askedAt = now
 		m.steps = append(m.steps, Step{Name: in.Name, ID: in.Unit.Turn, What: TakeUnit, Unit: in.Unit})
 	}
 	return false
