--- a/cmd/milletbarrow/serve.go
+++ b/cmd/milletbarrow/serve.go
@@ -60,8 +60,9 @@
 			}
 			defer end()
 			// From here on, so that a reload asked for at any time does not end the process.
-			hangup := make(chan os.Signal, 1)
+			hangup, notice := make(chan os.Signal, 1), make(chan os.Signal, 1)
 			signal.Notify(hangup, syscall.SIGHUP)
+			signal.Notify(notice, syscall.SIGTERM, os.Interrupt)
 			b, err := configuration(c)
 			if err != nil {
 				return err
@@ -76,17 +77,16 @@
 			if err != nil {
 				return err
 			}
-			return serve(b, ladder, sharing, c.String("config"), c.String("inspect"), c.String("levels"), c.Bool("reports-fixed"), hangup)
+			return serve(b, ladder, sharing, c.String("config"), c.String("inspect"), c.String("levels"), c.Bool("reports-fixed"), hangup, notice)
 		},
 	}
 }
 
 // serve wires the parts together and waits for the notice to leave.
 func serve(
-	b *terms.Backend, ladder *levels.Ladder, sharing *gate.Sharing, file, socket, levelsFile string, reportsFixed bool, hangup <-chan os.Signal,
+	b *terms.Backend, ladder *levels.Ladder, sharing *gate.Sharing, file, socket, levelsFile string, reportsFixed bool,
+	hangup, notice <-chan os.Signal,
 ) error {
-	notice := make(chan os.Signal, 1)
-	signal.Notify(notice, syscall.SIGTERM, os.Interrupt)
 	lim := bounds(b)
 	runtime.GOMAXPROCS(lim.Processors)
 	debug.SetMemoryLimit(lim.Heap)
@@ -108,7 +108,13 @@
 	link := farm.New(b.Farm, lim, tally, g.Open)
 	server := edge.New(b.Sheet, lim, tally, g, link)
 	reports := roster.New(b.Roster, b.Name, lim, reportsFixed)
-	for tried, late := false, time.Now().Add(lim.Bind); ; time.Sleep(lim.Rebind) {
+	for tried, late := false, time.Now().Add(lim.Bind); ; {
+		select {
+		case <-notice: // nothing has been let in
+			slog.Info("stop", "before", "listening")
+			return nil
+		default:
+		}
 		_, err := server.Listen(b.Listen)
 		if err == nil {
 			break
@@ -120,6 +126,7 @@
 			slog.Warn("listen_taken", "address", b.Listen)
 		}
 		tried = true
+		time.Sleep(lim.Rebind)
 	}
 	slog.Info("start", "name", b.Name, "listen", b.Listen, "processors", lim.Processors,
 		"connections", lim.Connections, "invocations", lim.Invocations)
@@ -160,7 +167,7 @@
 	if sharing != nil && sharing.Stamps != nil {
 		go stampDrawn(ctx, g)
 	}
-	go reload(ctx, b, file, levelsFile, hangup, g, link, reports)
+	go reload(ctx, b, file, levelsFile, hangup, g, link, reports, lim)
 	go func() {
 		broken <- errors.Join(errors.New("listen: the event loop has ended"), server.Serve())
 	}()
@@ -227,18 +234,29 @@
 // changes nothing.
 func reload(
 	ctx context.Context, b *terms.Backend, file, levelsFile string, hangup <-chan os.Signal, g *gate.Gate,
-	link *farm.Link, reports *roster.Reporter,
+	link *farm.Link, reports *roster.Reporter, lim limit.Bounds,
 ) {
 	watching := b.Watch
+	var again <-chan time.Time // while the file cannot be used: it may be half written
+	tries := 0
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-hangup:
+			tries = 0
+		case <-again:
+			tries++
 		}
+		again = nil
 		later, err := terms.Read(file)
 		if err != nil {
-			slog.Warn("reload", "used", false, "error", err.Error())
+			if tries == 0 {
+				slog.Warn("reload", "used", false, "error", err.Error())
+			}
+			if tries < lim.Rereads {
+				again = time.After(lim.Reread)
+			}
 			continue
 		}
 		slog.Info("reload", "used", true, "farm", later.Farm, "roster", later.Roster,
@@ -267,8 +285,8 @@
 	latest := func() time.Time { _, stop := d.times(); return stop.Add(-lim.LastWords) }
 	last := func() time.Time { _, stop := d.times(); return stop.Add(-lim.LastChance) }
 	for grace, _ := d.times(); ; grace, _ = d.times() { // looked at again and again, as it may be brought forward
-		if latest().Before(grace) {
-			grace = latest()
+		if last := latest().Add(-lim.Parting); last.Before(grace) {
+			grace = last
 		}
 		left := time.Until(grace)
 		if left <= 0 {
@@ -278,7 +296,10 @@
 	}
 	server.TurnAway()
 	quiet := 0
-	for now := time.Now(); now.Before(latest()) || now.Before(last()) && !server.Answered(); now = time.Now() {
+	for now := time.Now(); now.Before(latest()) || now.Before(last()) && !(server.Parted() && server.Answered()); now = time.Now() {
+		if !now.Before(latest()) { // whoever has not gone by now is told that nothing more comes
+			server.Part()
+		}
 		conns, _ := server.Counts()
 		if conns == 0 && server.Quiet() {
 			quiet++
--- a/edge/conn.go
+++ b/edge/conn.go
@@ -34,7 +34,8 @@
 	writing bool   // a goroutine waits for the socket to take some
 	noMore  bool   // type 30 is out
 	ending  bool   // closes once all is answered and written
-	closed  bool   // and has been
+	closed  bool   // and has been, for writing at least: what comes is read and dropped
+	over    bool   // for reading too
 	freed   bool   // netpoll has let go of it; its descriptor may be another's
 	sound   bool   // it has said something that can be used
 	unfit   int    // frames that could not be used, or named work that the farm does not know
@@ -145,9 +146,9 @@
 	c.server.odd.Note(kind, err)
 	c.mu.Lock()
 	c.unfit++
-	over := c.unfit == c.server.bounds.Unfit
+	unfit, most := c.unfit, c.server.bounds.Unfit
 	c.mu.Unlock()
-	if over {
+	if unfit == most {
 		c.server.odd.Note("unfit", nil)
 		c.end()
 	}
@@ -164,7 +165,7 @@
 		}
 	}()
 	payload := b[frame.HeadSize:]
-	if c.ends() {
+	if c.heedless() {
 		c.deaf = true
 		return
 	}
@@ -217,8 +218,9 @@
 	}
 	st := &stream{number: h.Stream, left: make(chan struct{})}
 	inv.Left = st.left
-	again, room := c.use(st)
+	again, room, gone := c.use(st)
 	switch {
+	case gone: // nobody can be answered any more
 	case again:
 		c.odd("stream_again", nil)
 		c.fail(h.Stream)
@@ -231,20 +233,21 @@
 	}
 }
 
-// use notes that something sound was said, and opens the stream of an invocation.
-func (c *conn) use(st *stream) (again, room bool) {
+// use notes that something sound was said, and opens the stream of an invocation. On a connection that ends there is
+// room for no more, but what comes is still answered.
+func (c *conn) use(st *stream) (again, room, gone bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sound, c.used = true, time.Now()
 	if st == nil || c.closed {
-		return false, true
+		return false, false, c.closed
 	}
 	again = c.open[st.number] != nil
-	room = !again && len(c.open) < c.server.bounds.Streams
+	room = !again && !c.ending && len(c.open) < c.server.bounds.Streams
 	if room {
 		c.open[st.number] = st
 	}
-	return again, room
+	return again, room, false
 }
 
 // answer gives a stream its one answer, unless its caller has left or it had one.
@@ -367,20 +370,25 @@
 	c.finish()
 }
 
-// finish closes a connection that ends once all is answered and written; c.mu is held.
+// finish closes a connection that ends once all is answered and written; c.mu is held. For writing first: were it closed
+// with input unread, the system would reset it, and the last answer could be lost on its way.
 func (c *conn) finish() {
-	if c.ending && len(c.open) == 0 && len(c.out) == 0 && !c.writing {
-		c.shut()
+	if c.ending && !c.closed && len(c.open) == 0 && len(c.out) == 0 && !c.writing {
+		if !c.freed {
+			syscall.Shutdown(c.fd, syscall.SHUT_WR)
+			time.AfterFunc(c.server.bounds.Linger, c.cut)
+		}
+		c.closed = true
 	}
 }
 
 // shut closes the connection; c.mu is held. The poller then finds its end, and netpoll calls lost. Netpoll's own
 // Close would wait, called on the poller, for the poller.
 func (c *conn) shut() {
-	if !c.closed && !c.freed {
+	if !c.over && !c.freed {
 		syscall.Shutdown(c.fd, syscall.SHUT_RDWR)
 	}
-	c.closed = true
+	c.closed, c.over = true, true
 }
 
 // cut closes the connection whatever is open on it.
@@ -398,10 +406,53 @@
 	c.finish()
 }
 
-func (c *conn) ends() bool {
+// endIfAnswered does so if nothing is open on it now, and nothing that came stands unread.
+func (c *conn) endIfAnswered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.rests() && !c.unread() {
+		c.ending = true
+		c.finish()
+	}
+}
+
+// cutUnlessSent closes a connection that is to make room, if nothing that came stands unread.
+func (c *conn) cutUnlessSent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.unread() {
+		return false
+	}
+	c.shut()
+	return true
+}
+
+// unread: the peer has sent what has not been taken in, and may be an invocation. What is bound to close says nothing
+// that matters. c.mu is held.
+func (c *conn) unread() bool { return !c.closed && !c.freed && unread(c.fd) }
+
+// answered: all that has come, the last byte too, and the answers are written.
+func (c *conn) answered() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.ending || c.closed
+	return c.rests() && !c.unread()
+}
+
+// excuse takes a span out of what the peer has let pass: the process was held up.
+func (c *conn) excuse(span time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.born, c.used = c.born.Add(span), c.used.Add(span)
+	if !c.begun.IsZero() {
+		c.begun = c.begun.Add(span)
+	}
+}
+
+// heedless: nothing on it can be answered any more, or so much could not be used that nothing more is looked at.
+func (c *conn) heedless() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed || c.unfit >= 2*c.server.bounds.Unfit
 }
 
 // askNoMore sends type 30, once.
@@ -439,8 +490,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.closed:
+	case c.over:
 		return atWork, now // it goes by itself
+	case c.closed: // and waits for its peer's end
+		return neverSound, c.born
 	case !c.sound && now.Sub(c.born) > c.server.bounds.Fresh:
 		return neverSound, c.born
 	case !c.sound:
@@ -461,15 +514,15 @@
 	b, resting := &c.server.bounds, c.rests()
 	switch {
 	case c.closed || c.ending:
-	case !c.sound && now.Sub(c.born) > b.Hello:
+	case !c.sound && now.Sub(c.born) > b.Hello && !c.unread(): // else the poller is behind
 		c.server.odd.Note("silent", nil)
 		c.ending = true
 		c.finish()
-	case !c.begun.IsZero() && now.Sub(c.begun) > b.Hello:
+	case !c.begun.IsZero() && now.Sub(c.begun) > b.Hello && !c.unread():
 		c.server.odd.Note("unended", nil)
 		c.ending = true
 		c.finish()
-	case resting && now.Sub(c.used) > rest:
+	case resting && now.Sub(c.used) > rest && !c.unread():
 		c.shut()
 	case resting && now.Sub(c.used) > b.Sweep:
 		c.out = nil
--- a/edge/server.go
+++ b/edge/server.go
@@ -41,7 +41,7 @@
 	farm       *farm.Link
 	operations map[string]int // number of each name, from 1
 	tenants    map[string]int
-	listener   net.Listener
+	door       *door
 	loop       netpoll.EventLoop
 	inHand     atomic.Int64 // goroutines that carry an invocation
 	unsent     atomic.Int64 // bytes of answers not yet taken by peers, on all connections
@@ -49,6 +49,7 @@
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
 	draining bool
+	swept    time.Time // Sweep's
 }
 
 type connKey struct{}
@@ -86,15 +87,13 @@
 		})
 		return errors.Join(control, err)
 	}}
-	plain, err := lc.Listen(context.Background(), "tcp", address)
+	l, err := lc.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	l, err := netpoll.ConvertListener(plain)
-	if err != nil {
+	if s.door, err = newDoor(l.(*net.TCPListener)); err != nil {
 		return nil, err
 	}
-	s.listener = l
 	s.loop, err = netpoll.NewEventLoop(
 		func(ctx context.Context, _ netpoll.Connection) error {
 			ctx.Value(connKey{}).(*conn).read()
@@ -107,15 +106,16 @@
 }
 
 // Serve accepts until the listener is closed.
-func (s *Server) Serve() error { return s.loop.Serve(s.listener) }
+func (s *Server) Serve() error { return s.loop.Serve(s.door) }
 
 func (s *Server) accept(np netpoll.Connection) context.Context {
 	now := time.Now()
 	c := &conn{server: s, np: np, fd: np.(netpoll.Conn).Fd(), open: map[uint32]*stream{}, born: now, used: now}
 	ctx := context.WithValue(context.Background(), connKey{}, c)
+	crowded := false
 	if s.full(0) {
 		s.odd.Note("connections", nil)
-		if !s.giveUp(now) || s.full(s.bounds.Leaving) {
+		if crowded = !s.giveUp(now); s.full(s.bounds.Leaving) {
 			np.Close()
 			return ctx
 		}
@@ -131,7 +131,7 @@
 		c.lost()
 		return nil
 	})
-	if draining {
+	if draining || crowded { // what it has sent already is answered
 		c.askNoMore()
 	}
 	return ctx
@@ -166,16 +166,19 @@
 
 // giveUp closes connections to make room: those that never said anything sound, then those that have rested
 // longest, several at once, as looking for them costs time; else one that was just opened, else one just used;
-// never one with work. It guards against clients that connect by the hundred and say nothing, and callers that
+// never one with work, nor one with input that has not been taken in. It guards against clients that connect by the hundred and say nothing, and callers that
 // keep for good what they used once: neither may shut others out.
 func (s *Server) giveUp(now time.Time) bool {
-	for n, c := range s.byWorth(now) {
+	n := 0
+	for _, c := range s.byWorth(now) {
 		if c.worth == atWork || n > 0 && c.worth > resting || n > s.bounds.Connections/32 {
-			return n > 0
+			break
+		}
+		if c.cutUnlessSent() {
+			n++
 		}
-		c.cut()
 	}
-	return true
+	return n > 0
 }
 
 // enter counts an invocation in, if there is room for it.
@@ -213,6 +216,13 @@
 		return
 	default:
 	}
+	select {
+	case word := <-ticket.Final(): // likewise, and the answer is out: nothing is run for nobody
+		s.say(c, st, word)
+		s.gate.Report(ticket, gate.NeverRan)
+		return
+	default:
+	}
 	run := s.farm.Launch(inv.ID, operation, body)
 	left := st.left
 	for {
@@ -281,6 +291,12 @@
 // sweep does it once; most is how long the gate lets connections rest, 0 for as long as callers like.
 func (s *Server) sweep(most time.Duration) {
 	now := time.Now()
+	if late := now.Sub(s.swept) - s.bounds.Sweep; !s.swept.IsZero() && late > s.bounds.Sweep {
+		for _, c := range s.all() { // this process had no time: neither had its peers
+			c.excuse(late)
+		}
+	}
+	s.swept = now
 	rest := time.Duration(s.sheet.Terms.IdleFor) * time.Microsecond
 	if rest += s.bounds.Hello; s.sheet.Terms.IdleFor <= 0 {
 		rest = math.MaxInt64
@@ -320,21 +336,41 @@
 	return len(s.conns), int(s.inHand.Load())
 }
 
-// TurnAway closes the listener and asks for no more on every connection.
+// TurnAway closes the listener, once all that the machine has accepted is taken in, and asks for no more on every
+// connection.
 func (s *Server) TurnAway() {
 	s.mu.Lock()
 	s.draining = true
 	s.mu.Unlock()
-	s.listener.Close()
 	for _, c := range s.all() {
 		c.askNoMore()
 	}
+	if err := s.door.close(s.bounds.Queued); err != nil {
+		s.odd.Note("listener", err)
+	}
+}
+
+// Part closes, for writing, every connection on which all that came is answered.
+func (s *Server) Part() {
+	for _, c := range s.all() {
+		c.endIfAnswered()
+	}
+}
+
+// Parted tells whether every connection has been closed, for writing at least.
+func (s *Server) Parted() bool {
+	for _, c := range s.all() {
+		if !c.heedless() {
+			return false
+		}
+	}
+	return true
 }
 
-// Answered tells whether all that was read has been answered, and the answers written.
+// Answered tells whether all that was read has been answered, the answers written, and nothing stands unread.
 func (s *Server) Answered() bool {
 	for _, c := range s.all() {
-		if _, rests := c.restsSince(); !rests {
+		if !c.answered() {
 			return false
 		}
 	}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -111,6 +111,7 @@
 	good    bool   // as health checks are to be answered
 	idle    Micros // connections may be idle for so long; 0: as long as the callers like
 	drained bool   // the notice has come
+	stops   Micros // and the process is stopped then
 	closes  Micros // what arrives later does not run; 0: no notice has come
 	module  Micros // the end of the grace as the module has it
 	gauges  []float64
@@ -166,6 +167,9 @@
 	g.opened = Now() - min(ago, t.ColdFor)
 	g.openWatch()
 	g.decide(g.opened, admit.Opened{})
+	if g.drained { // the farm came up during the drain
+		g.notice(Now())
+	}
 }
 
 // terms are settings as the module is told them: as cold as the farm was, and with a grace that is shorter, as a
@@ -225,16 +229,18 @@
 	if inv.Operation < len(g.sheet.Terms.Operations) {
 		t.want = inv.At + g.sheet.Terms.Operations[inv.Operation].Objective
 	}
+	never := func(w Word) *Ticket { // it is in nobody's hand: its caller's leaving must not end another of its id
+		t.answered = true
+		t.words <- w
+		return t
+	}
 	switch {
 	case g.hand[inv.ID] != nil: // ids are new with every try; this one is not, and must not end the other
-		t.words <- Word{Verdict: Errored}
-		return t
+		return never(Word{Verdict: Errored})
 	case g.backend == nil:
-		t.words <- Word{Verdict: Throttled}
-		return t
+		return never(Word{Verdict: Throttled})
 	case g.closes != 0 && g.closes <= min(now, inv.At) && min(now, inv.At) <= g.module: // see Drain
-		t.words <- Word{Verdict: Throttled, Away: g.sheet.Terms.MaxRetryAfter}
-		return t
+		return never(Word{Verdict: Throttled, Away: g.sheet.Terms.MaxRetryAfter})
 	}
 	g.hand[inv.ID] = t
 	g.counts.Picked++
@@ -273,7 +279,7 @@
 		}
 	}
 	t.answered = true
-	if end == NeverRan {
+	if end == NeverRan || end == Unrunnable {
 		g.giveBack(t)
 	}
 	delete(g.hand, t.id)
@@ -339,14 +345,18 @@
 	if end := max(1, now+grace); g.closes == 0 || end < g.closes {
 		g.closes = end
 	}
+	g.stops = now + left
 	if g.backend != nil {
-		g.module = now + g.terms(g.sheet).DrainGrace
-	}
-	if g.backend != nil {
-		g.decide(Now(), admit.DrainNotice{Left: left})
+		g.notice(now)
 	}
 }
 
+// notice tells the module, which counts its grace from now on.
+func (g *Gate) notice(now Micros) {
+	g.module = now + g.terms(g.sheet).DrainGrace
+	g.decide(now, admit.DrainNotice{Left: g.stops - now})
+}
+
 // Good tells how health checks are to be answered.
 func (g *Gate) Good() bool {
 	g.mu.Lock()
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -108,6 +108,45 @@
 	say(tr, "heard after its grace", w, ticket, late)
 }
 
+// TestSameIDTakenBack: one whose id is in hand already, and whose caller leaves, does not end the other. The answer and the
+// leaving are there at once, so that either may be seen first: fifty times, to see both.
+func TestSameIDTakenBack(t *testing.T) {
+	g := open(t)
+	_, first := g.Pick(usual("a"))
+	for range 50 {
+		again := usual("a")
+		again.Left = gone
+		if w, ticket := g.Pick(again); w.Verdict != Errored || ticket != nil || inHand(g) != 1 {
+			t.Fatalf("verdict %d, in hand %d", w.Verdict, inHand(g))
+		}
+	}
+	if !g.Report(first, RunSucceeded) || inHand(g) != 0 {
+		t.Errorf("the first is owed no answer, or is still in hand: %d", inHand(g))
+	}
+}
+
+// TestNoticeBeforeTheFarm: a farm that comes up during the drain does not open the gate to what comes after the grace.
+func TestNoticeBeforeTheFarm(t *testing.T) {
+	tr := standin.NewTrace(t)
+	var sheet terms.Sheet
+	if err := json.Unmarshal([]byte(standin.Settings), &sheet); err != nil {
+		t.Fatal(err)
+	}
+	g := New(&sheet, 1, limit.For(1, 192, 1024))
+	g.Drain(600_000, 100_000)
+	begun := Now()
+	g.Open(false, 0)
+	w, ticket := g.Pick(usual("a"))
+	say(tr, "within the grace", w, ticket, g)
+	g.Report(ticket, RunSucceeded)
+	standin.Until(t, "the grace is over", func() bool { return Now() > begun+100_000 })
+	w, ticket = g.Pick(usual("b"))
+	say(tr, "after it", w, ticket, g)
+	standin.Until(t, "the module's own grace is over", func() bool { return Now() > begun+400_000 })
+	w, ticket = g.Pick(usual("c"))
+	say(tr, "after that", w, ticket, g)
+}
+
 // TestUsedUpAndLeft: nothing is kept for callers that have gone or never waited.
 func TestUsedUpAndLeft(t *testing.T) {
 	tr := standin.NewTrace(t)
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -67,11 +67,16 @@
 	Sweep  time.Duration // between two looks at all connections
 	Fresh  time.Duration // a connection this young may yet say something
 	Rests  time.Duration // one that has carried nothing for so long rests
+	Linger time.Duration // closed for writing, it waits so long for its peer's end
+	Queued time.Duration // what stands in the accept queue is taken in for so long before the listener closes
 	Hello  time.Duration // it has said something sound by then, and ended any frame that it began; under 3 s
 
 	// The life of the process.
 	Quiet      time.Duration // between two log lines on the state, or on odd input of one kind
 	NoticeLate time.Duration // a notice may be heard so late; that much of the grace is not used
+	Reread     time.Duration // a file that cannot be used may be half written: it is read again after so long
+	Rereads    int           // so many times
+	Parting    time.Duration // callers are turned away so long before the stop at the least: what crosses that is answered
 	LastWords  time.Duration // the process ends so long before the stop, if all is answered
 	LastChance time.Duration // or, with answers still to be written, so long before it
 }
@@ -127,6 +132,11 @@
 		Fresh:        50 * time.Millisecond,
 		Rests:        time.Second,
 		Hello:        2 * time.Second,
+		Linger:       500 * time.Millisecond,
+		Queued:       100 * time.Millisecond,
+		Parting:      200 * time.Millisecond,
+		Reread:       50 * time.Millisecond,
+		Rereads:      40,
 		Quiet:        10 * time.Second,
 		NoticeLate:   100 * time.Millisecond,
 		LastWords:    30 * time.Millisecond,
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -384,6 +384,14 @@
 	delete(f.known, id)
 }
 
+// Refuse says that a launch names nobody's work. A later one of that id is refused or taken anew.
+func (f *Farm) Refuse(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.known, id)
+	f.send("refusal launch " + id + "\r\n")
+}
+
 // Cut ends the link.
 func (f *Farm) Cut() {
 	f.mu.Lock()
