Launches go on over the link in use until a new one is greeted; a silent link is tried anew

Suspected: after SIGHUP moved the farm's address, Link.takeOver made the new connection the only one written to as soon as it was accepted; while its greeting was late every launch waited (synced off), up to its client timeout. A link that stays open and silent was never dialled anew.

Now a new connection only subscribes while the link in use is level, and takes over with its greeting, or when that link ends. A greeted link that brings nothing for 2 s though asked gets another beside it.

--- a/farm/farm_test.go
+++ b/farm/farm_test.go
@@ -222,3 +222,68 @@
 	a.Cut()
 	tr.Say("of the next link: %v", standin.Take(t, "a sample", l.Sampled()))
 }
+
+// TestMoveWithoutGreeting: while the farm at the new address has not greeted, the link in use takes launches; where that
+// ends first the new one stands in for it, and a move back and forth leaves one link.
+func TestMoveWithoutGreeting(t *testing.T) {
+	tr := standin.NewTrace(t)
+	a := standin.NewFarm(t)
+	l := keep(t, a)
+	standin.Take(t, "the first link", a.Subscribes)
+	standin.Until(t, "the link is up", l.Up)
+	standin.Take(t, "a sample", l.Sampled())
+	move := func() (cut func()) {
+		cut = a.Move()
+		l.Move(a.Address)
+		standin.Take(t, "a new link", a.Subscribes)
+		return cut
+	}
+	greet := func(state string) { a.With(func(now, _ *string) { *now = state }) }
+	greet("")
+	move()
+	one := l.Launch("00000000000000d1", "look", nil)
+	tr.Say("before the greeting: %v", standin.Take(t, "a launch on the link in use", a.Launches))
+	greet("hot 1")
+	standin.Take(t, "the new link is level", l.Sampled())
+	a.End("00000000000000d1", "complete", "first")
+	tr.Say("%q, launched again %d times", standin.Take(t, "its end", one.Done()).Result, len(a.Launches))
+
+	greet("")
+	move()
+	cut := move() // the one in between never greeted
+	cut()
+	two := l.Launch("00000000000000d2", "look", nil)
+	greet("hot 1")
+	tr.Say("two moves: %v", standin.Take(t, "a launch", a.Launches))
+	a.End("00000000000000d2", "complete", "second")
+	tr.Say("%q", standin.Take(t, "its end", two.Done()).Result)
+	standin.Take(t, "a sample", l.Sampled())
+
+	greet("")
+	cut = move()
+	cut() // the link in use, before the new one is greeted
+	three := l.Launch("00000000000000d3", "look", nil)
+	greet("hot 1")
+	tr.Say("the link in use ends first: %v", standin.Take(t, "a launch", a.Launches))
+	a.End("00000000000000d3", "complete", "third")
+	tr.Say("%q, runs left %d", standin.Take(t, "its end", three.Done()).Result, l.count())
+}
+
+// TestSilentLink: a level link that stays open and brings nothing is tried anew; runs go on.
+func TestSilentLink(t *testing.T) {
+	a := standin.NewFarm(t)
+	l := keep(t, a)
+	standin.Take(t, "the first link", a.Subscribes)
+	standin.Until(t, "the link is up", l.Up)
+	standin.Take(t, "a sample", l.Sampled())
+	run := l.Launch("00000000000000e1", "look", nil)
+	standin.Take(t, "a launch", a.Launches)
+	a.With(func(state, gauges *string) { *gauges = "" })
+	standin.Until(t, "a link beside it", func() bool { l.Sample(); return len(a.Subscribes) == 1 })
+	a.With(func(_, gauges *string) { *gauges = "0.1 0 0 0" })
+	standin.Until(t, "the new one is level", func() bool { l.Sample(); return len(l.Sampled()) > 0 })
+	a.End("00000000000000e1", "complete", "r")
+	if end := standin.Take(t, "its end", run.Done()); string(end.Result) != "r" || len(a.Launches) != 0 {
+		t.Errorf("%+v, launched again %d times", end, len(a.Launches))
+	}
+}
--- a/farm/link.go
+++ b/farm/link.go
@@ -44,13 +44,15 @@
 	mu      sync.Mutex
 	address string
 	wake    *sync.Cond // there is something to write, or the link is over
-	conn    net.Conn   // the newest; all that is written goes to it
-	before  net.Conn   // the one it took over from, read until the newest is greeted
+	conn    net.Conn   // all that is written goes to it, but for the first word of the next
+	before  net.Conn   // the one it took over from
+	next    net.Conn   // subscribed, and takes over once it is greeted or conn ends; nil while conn is not level
 	out     []byte     // to be written
 	runs    map[string]*Run
 	last    uint64    // number of the last notice read
 	synced  bool      // all notices from before this link have been read
 	heard   time.Time // when it was last so
+	line    time.Time // when conn last brought something
 	tag     uint64    // of the last sample asked for
 	asked   bool      // and it has not come
 	since   time.Time
@@ -133,6 +135,9 @@
 func (l *Link) Keep(ctx context.Context) {
 	dialer := net.Dialer{Timeout: l.bounds.Dial}
 	pause := l.bounds.RedialLeast
+	look := time.NewTicker(l.bounds.LinkSilent / 2)
+	defer look.Stop()
+dial:
 	for down := false; ctx.Err() == nil; {
 		l.mu.Lock()
 		address := l.address
@@ -140,16 +145,24 @@
 		conn, err := dialer.DialContext(ctx, "tcp", address)
 		if err == nil {
 			over := make(chan ending, 1)
-			l.takeOver(conn)
-			go func() { over <- l.hold(ctx, conn) }()
-			select {
-			case end := <-over:
-				if err = end.err; end.greeted {
-					pause, down = l.bounds.RedialLeast, false
+			first := l.subscribe(conn)
+			go func() { over <- l.hold(ctx, conn, first) }()
+			for held := true; held; {
+				select {
+				case end := <-over:
+					if err = end.err; end.greeted {
+						pause, down = l.bounds.RedialLeast, false
+					}
+					held = false
+				case <-l.moved: // this link goes on until the next has taken over, or the farm closes it
+					pause = l.bounds.RedialLeast
+					continue dial
+				case <-look.C:
+					if l.silent() { // likewise: it may be open at our side alone
+						slog.Warn("farm_silent")
+						continue dial
+					}
 				}
-			case <-l.moved: // this link goes on until the next has taken over, or the farm closes it
-				pause = l.bounds.RedialLeast
-				continue
 			}
 		}
 		if ctx.Err() != nil {
@@ -181,18 +194,42 @@
 	err     error
 }
 
-// takeOver makes conn the newest link, subscribed from the last notice read. The one before is still read:
-// its notices count by their numbers, whichever link brings them first. What was written to it and not read
-// by the farm is sent again once the new link is level.
-func (l *Link) takeOver(conn net.Conn) {
+// silent: the link in use was greeted, and has brought nothing for long though it was asked. Where another is on its way,
+// nothing is to be done about it, nor before the greeting: a farm may come up late.
+func (l *Link) silent() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.asked && l.next == nil && time.Since(l.line) > l.bounds.LinkSilent
+}
+
+// subscribe brings a new connection in, subscribed from the last notice read. While the link in use is level, it goes on
+// taking launches until the new one is greeted: a greeting may be late, or never come. It returns what is to be written
+// to the new one first.
+func (l *Link) subscribe(conn net.Conn) (first []byte) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	first = appendSubscribe(nil, l.last)
+	if l.next != nil {
+		l.next.Close()
+	}
+	if l.next = nil; l.synced {
+		l.next = conn
+		return first
+	}
+	l.takeOver(conn)
+	return first
+}
+
+// takeOver makes conn the link in use. The one before is still read, until this one is greeted: its notices count by
+// their numbers, whichever link brings them first. What was written to it and not read by the farm is sent again once
+// the new link is level. l.mu is held.
+func (l *Link) takeOver(conn net.Conn) {
 	if l.before != nil {
 		l.before.Close()
 	}
 	l.before = l.conn
 	l.unlink(conn)
-	l.out = appendSubscribe(l.out[:0], l.last)
+	l.out = l.out[:0]
 }
 
 // unlink lets conn, which may be nil, stand in for a link that is level; l.mu is held.
@@ -200,22 +237,29 @@
 	if l.synced {
 		l.heard = time.Now()
 	}
-	l.conn, l.synced, l.asked = conn, false, false
+	if l.next == conn {
+		l.next = nil
+	}
+	l.conn, l.synced, l.asked, l.line = conn, false, false, time.Now()
 	l.wake.Broadcast()
 }
 
 // hold works one connection until it is over.
-func (l *Link) hold(ctx context.Context, conn net.Conn) (end ending) {
+func (l *Link) hold(ctx context.Context, conn net.Conn, first []byte) (end ending) {
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
 	var writer sync.WaitGroup
-	writer.Go(func() { l.write(conn) })
+	writer.Go(func() { l.write(conn, first) })
 	end.greeted, end.err = l.read(conn)
 	l.mu.Lock()
-	if l.conn == conn {
-		l.unlink(nil)
-	}
-	if l.before == conn {
+	switch conn {
+	case l.next:
+		l.next = nil
+		l.wake.Broadcast()
+	case l.conn:
+		l.unlink(l.next) // nil where there is none
+		l.out = l.out[:0]
+	case l.before:
 		l.before = nil
 	}
 	l.mu.Unlock()
@@ -225,12 +269,16 @@
 }
 
 // write sends what gathers, until the link is over.
-func (l *Link) write(conn net.Conn) {
+func (l *Link) write(conn net.Conn, first []byte) {
+	if _, err := conn.Write(first); err != nil {
+		conn.Close() // its reader sees the end
+		return
+	}
 	var sending []byte
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for {
-		for l.conn == conn && len(l.out) == 0 {
+		for l.conn == conn && len(l.out) == 0 || l.next == conn {
 			l.wake.Wait()
 		}
 		if l.conn != conn {
@@ -304,6 +352,9 @@
 			slog.Info("farm_up", "cold", n.cold, "ago_us", n.micros)
 			l.greeted(n.cold, n.micros)
 			l.mu.Lock()
+			if l.next == conn {
+				l.takeOver(conn)
+			}
 			if l.conn == conn {
 				if l.before != nil {
 					l.before.Close()
@@ -354,6 +405,9 @@
 			l.mu.Lock()
 			news := n.number > l.last
 			l.last = max(l.last, n.number)
+			if l.conn == conn {
+				l.line = time.Now()
+			}
 			l.mu.Unlock()
 			if news {
 				end.Result = append([]byte(nil), end.Result...)
@@ -371,7 +425,7 @@
 	if l.conn != conn || string(n.tag) != sampleTag(l.tag) {
 		return
 	}
-	l.asked = false
+	l.asked, l.line = false, time.Now()
 	if !l.synced {
 		l.synced = true
 		for _, r := range l.runs { // it is not known which of them the farm has read; known ones do no harm
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -46,6 +46,7 @@
 	Dial        time.Duration // one try to reach it
 	RedialLeast time.Duration // between the first two tries; it doubles
 	RedialMost  time.Duration // up to this
+	LinkSilent  time.Duration // a link that brings nothing for so long, though asked, is tried anew beside it
 	LinkMissed  time.Duration // without a link for so long, checks are answered with bad
 
 	// The roster.
@@ -114,6 +115,7 @@
 		RedialLeast:  20 * time.Millisecond,
 		RedialMost:   100 * time.Millisecond,
 		LinkMissed:   time.Second,
+		LinkSilent:   2 * time.Second,
 		Dial:         time.Second,
 		Report:       700 * time.Millisecond,
 		ReportAgain:  150 * time.Millisecond,
