Rare moments of connections made to happen every time: eight tests over real sockets

edge/moments_test.go; the poller is held at the listener's lock, so that what peers write stands unread while timers run out.

--- /dev/null
+++ b/edge/moments_test.go
@@ -0,0 +1,257 @@
+package edge
+
+import (
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"milletbarrow/limit"
+	"milletbarrow/standin"
+	"milletbarrow/terms"
+)
+
+// The rare moments: each of these tests makes one bad order happen every time.
+
+// holdPoller stops the poller until release is called: what comes meanwhile stands unread in the sockets, as where the
+// process was held up. A connection that only knocks brings the poller to the door, which is locked.
+func (s *site) holdPoller(t testing.TB) (release func()) {
+	s.door.mu.Lock()
+	knock, err := net.Dial("tcp", s.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { knock.Close() })
+	// The poller stands at the door once it no longer takes in what another connection sends.
+	return s.door.mu.Unlock
+}
+
+// only is the one connection that is open.
+func (s *site) only(t testing.TB) *conn {
+	standin.Until(t, "one is open", func() bool { n, _ := s.Counts(); return n == 1 })
+	return s.all()[0]
+}
+
+// TestAcceptQueue: the listener closes while whole connections, invocations written, stand in the accept queue. Each is
+// answered, and who comes later finds the door closed.
+func TestAcceptQueue(t *testing.T) {
+	s := open(t, nil)
+	release := s.holdPoller(t)
+	var nodes []*standin.Node
+	for k := range 5 {
+		n := standin.Dial(t, s.address)
+		n.Send(standin.Invocation(1, k+1))
+		nodes = append(nodes, n)
+	}
+	over := make(chan struct{})
+	go func() { s.TurnAway(); close(over) }()
+	release()
+	standin.Take(t, "the door's closing", over)
+	for range nodes {
+		s.run(t, "complete", "r")
+	}
+	for k, n := range nodes {
+		for f := n.Expect(); f.Type != 11; f = n.Expect() {
+			if f.Type != 30 {
+				t.Errorf("%d: %v", k, f)
+			}
+		}
+	}
+	if c, err := net.Dial("tcp", s.address); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("let in after the door is closed: %v %v", c, err)
+	}
+}
+
+// TestUnreadOnResting: timers have run out on connections whose invocations stand unread, as the process was held up.
+// None is closed over them: not by what ends the silent, those within a frame and the resting, nor to make room.
+func TestUnreadOnResting(t *testing.T) {
+	short := func(b *limit.Bounds, sheet *terms.Sheet) {
+		b.Hello, b.Rests, b.Sweep = time.Millisecond, 0, time.Hour
+		sheet.Terms.IdleFor = 1000
+	}
+	for _, c := range []struct {
+		what, before string
+		after        string // what is unread
+		closes       func(*site)
+	}{
+		{"silent", "", standin.Invocation(1, 1), func(s *site) { s.sweep(0) }},
+		{"within a frame", standin.Invocation(1, 2)[:30], standin.Invocation(1, 2)[30:], func(s *site) { s.sweep(0) }},
+		{"resting", standin.Raw(20, 9, "\x00"), standin.Invocation(1, 3), func(s *site) { s.sweep(0) }},
+		{"full", standin.Raw(20, 9, "\x00"), standin.Invocation(1, 4), func(s *site) { s.giveUp(time.Now()) }},
+	} {
+		s := open(t, short)
+		n := standin.Dial(t, s.address)
+		n.Send(c.before)
+		one := s.only(t)
+		if strings.HasPrefix(c.before, standin.Raw(20, 9, "\x00")) {
+			n.Expect()
+		} else if c.before != "" {
+			standin.Until(t, "the frame has begun", func() bool { one.mu.Lock(); defer one.mu.Unlock(); return !one.begun.IsZero() })
+		}
+		release := s.holdPoller(t)
+		n.Send(c.after)
+		standin.Until(t, "it stands unread", func() bool { return unread(one.fd) })
+		time.Sleep(10 * time.Millisecond) // all timers are over
+		c.closes(s)
+		release()
+		s.run(t, "complete", "r")
+		f := n.Expect()
+		for f.Type == 30 {
+			f = n.Expect()
+		}
+		if f.Type != 11 || f.Code != 1 {
+			t.Errorf("%s: %v", c.what, f)
+		}
+	}
+}
+
+// TestHeldUpWithinAFrame: the process was held up for longer than a frame may take; that time is not its peer's.
+func TestHeldUpWithinAFrame(t *testing.T) {
+	s := open(t, nil)
+	n := standin.Dial(t, s.address)
+	whole := standin.Invocation(1, 1)
+	n.Send(whole[:30])
+	c := s.only(t)
+	standin.Until(t, "the frame has begun", func() bool { c.mu.Lock(); defer c.mu.Unlock(); return !c.begun.IsZero() })
+	s.sweep(0)
+	held := s.bounds.Hello + time.Second
+	c.excuse(-held) // as if it had come so long ago,
+	s.swept = s.swept.Add(-held)
+	s.sweep(0) // and nothing was looked at since
+	n.Send(whole[30:])
+	s.run(t, "complete", "r")
+	if f := n.Expect(); f.Code != 1 {
+		t.Error(f)
+	}
+}
+
+// TestSoundAfterUnfit: a connection has sent too much that cannot be used and ends once all is answered; a sound
+// invocation that comes meanwhile never ran, and is told so.
+func TestSoundAfterUnfit(t *testing.T) {
+	tr := standin.NewTrace(t)
+	s := open(t, nil)
+	n := standin.Dial(t, s.address)
+	n.Send(standin.Invocation(1, 1))
+	l := standin.Take(t, "a launch", s.theFarm.Launches)
+	for k := range s.bounds.Unfit {
+		n.Send(standin.Invocation(uint32(k+2), k+2, "class=x"))
+		if f := n.Expect(); f.Code != 3 {
+			t.Error(f)
+		}
+	}
+	n.Send(standin.Invocation(99, 99))
+	tr.Say("a sound one: %v", n.Expect())
+	s.theFarm.End(l.ID, "complete", "r")
+	tr.Say("the first: %v", n.Expect())
+	_, err := n.Next()
+	tr.Say("then %v", err)
+	tr.Say("launches left %d", len(s.theFarm.Launches))
+}
+
+// TestLastAnswersBeforeUnreadInput: a connection ends while its peer, which reads nothing yet, goes on sending. All
+// answers reach it all the same: closed outright, the system would reset the connection and drop what is on its way.
+func TestLastAnswersBeforeUnreadInput(t *testing.T) {
+	s := open(t, func(b *limit.Bounds, _ *terms.Sheet) { b.Linger = 5 * time.Second })
+	s.theFarm.With(func(_, gauges *string) { *gauges = "0.1 0 0.1 1" })
+	d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
+	}}
+	plain, err := d.Dial("tcp", s.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { plain.Close() })
+	n := standin.NewNode(t, plain)
+	const many = 16
+	for k := range many {
+		n.Send(standin.Invocation(uint32(k+1), k+1, "wait=60000"))
+		s.run(t, "complete", strings.Repeat("r", 4096))
+	}
+	c := s.only(t)
+	n.Send("\x00\x00\x00\x01xxxx")
+	standin.Until(t, "all is written", func() bool { c.mu.Lock(); defer c.mu.Unlock(); return c.closed })
+	for range 20 {
+		plain.Write(make([]byte, 100))
+		time.Sleep(time.Millisecond)
+	}
+	answers := 0
+	for {
+		f, err := n.Next()
+		if err != nil {
+			if err != io.EOF || answers != many {
+				t.Errorf("%d answers of %d, then %v", answers, many, err)
+			}
+			break
+		}
+		if f.Type == 11 && f.Stream > 0 && len(f.Body) == 4096 {
+			answers++
+		}
+	}
+}
+
+// TestClosedBeforeItsStreamOpens: the connection is cut between the reading of an invocation and the opening of its
+// stream. Nobody can be answered: nothing is opened, carried or run.
+func TestClosedBeforeItsStreamOpens(t *testing.T) {
+	s := open(t, nil)
+	standin.Dial(t, s.address)
+	c := s.only(t)
+	c.cut()
+	if again, room, gone := c.use(&stream{number: 1, left: make(chan struct{})}); again || room || !gone {
+		t.Errorf("again %t, room %t, gone %t", again, room, gone)
+	}
+	s.rests(t, 0)
+}
+
+// TestDueBeforeItsLaunch: an invocation falls due, and is errored, between the word that it may run and its launch. It
+// does not run for nobody.
+func TestDueBeforeItsLaunch(t *testing.T) {
+	s := open(t, nil)
+	stop := func() {
+		standin.Until(t, "it is errored", func() bool { c, _ := s.gate.Counts(); return c.Errored == 1 })
+	}
+	s.seam.Store(&stop)
+	n := standin.Dial(t, s.address)
+	n.Send(standin.Invocation(1, 1, "wait=150"))
+	if f := n.Expect(); f.Code != 3 {
+		t.Error(f)
+	}
+	standin.Until(t, "it is over", func() bool { _, carried := s.Counts(); return carried == 0 })
+	if len(s.theFarm.Launches) > 0 {
+		t.Error("it was launched")
+	}
+	s.rests(t, 1)
+}
+
+// TestResetBeforeItsAnswer: the peer resets at every stage: within a frame, with an invocation unread, held, running.
+// Nothing is left over, and another connection is answered.
+func TestResetBeforeItsAnswer(t *testing.T) {
+	s := open(t, nil)
+	other := standin.Dial(t, s.address)
+	for k, stage := range []string{"within a frame", "running", "answered and not read"} {
+		n := standin.Dial(t, s.address)
+		n.Conn.(*net.TCPConn).SetLinger(0)
+		frame := standin.Invocation(1, 10+k)
+		if stage == "within a frame" {
+			frame = frame[:40]
+		}
+		n.Send(frame)
+		if stage != "within a frame" {
+			l := standin.Take(t, "a launch", s.theFarm.Launches)
+			if stage == "running" {
+				defer s.theFarm.End(l.ID, "complete", "nobody waits")
+			} else {
+				s.theFarm.End(l.ID, "complete", strings.Repeat("r", 4096))
+			}
+		}
+		n.Close()
+		other.Send(standin.Invocation(uint32(k+1), 20+k))
+		s.run(t, "complete", "r")
+		if f := other.Expect(); f.Code != 1 {
+			t.Errorf("%s: beside it %v", stage, f)
+		}
+	}
+	standin.Until(t, "they are gone", func() bool { n, _ := s.Counts(); return n == 1 })
+}
--- a/edge/server.go
+++ b/edge/server.go
@@ -50,6 +50,8 @@
 	conns    map[*conn]struct{}
 	draining bool
 	swept    time.Time // Sweep's
+
+	seam atomic.Pointer[func()] // tests stop carry there; nil outside them
 }
 
 type connKey struct{}
@@ -210,6 +212,9 @@
 		s.say(c, st, word)
 		return
 	}
+	if stop := s.seam.Load(); stop != nil {
+		(*stop)()
+	}
 	select {
 	case <-st.left: // before it went out
 		s.gate.Report(ticket, gate.Unrunnable)
