Time lost before the first look at connections is excused too; rare moments of the built program

The process had been stopped before its first look at connections, so swept was still zero and nothing was excused.

Five more: the farm greets during the drain; SIGTERM while the address is taken; SIGHUP with the file half written; a stop that comes before the grace is over, callers sending all along; the register taking nothing while we leave.

--- /dev/null
+++ b/cmd/milletbarrow/moments_test.go
@@ -0,0 +1,202 @@
+package main
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"milletbarrow/standin"
+)
+
+// The rare moments of the built program: each of these tests makes one bad order happen every time.
+
+// TestNoticeBeforeTheGreeting: the farm greets during the drain. What arrives after the grace is not run all the same.
+func TestNoticeBeforeTheGreeting(t *testing.T) {
+	b := prepare(t)
+	b.farm.With(func(state, _ *string) { *state = "" })
+	b.start()
+	standin.Take(t, "a link", b.farm.Subscribes)
+	n := standin.Dial(t, b.address)
+	n.Send(standin.Raw(20, 1, "\x00"))
+	n.Expect()
+	since := b.term()
+	if f := n.Expect(); f.Type != 30 || time.Since(since) < 250*time.Millisecond {
+		t.Fatalf("%v after %v: not the end of the grace", f, time.Since(since))
+	}
+	b.farm.With(func(state, _ *string) { *state = "hot 1" })
+	standin.Until(t, "the farm has greeted", b.said("event=farm_up"))
+	n.Send(standin.Invocation(3, 3))
+	if f := n.Expect(); f.Type != 11 || f.Code != 2 || len(b.farm.Launches) > 0 {
+		t.Errorf("%v, launched %d", f, len(b.farm.Launches))
+	}
+	n.Close()
+	if err := standin.Take(t, "the exit", b.ended); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestNoticeWhileTheAddressIsTaken: it ends at once and in order, without ever listening or reporting.
+func TestNoticeWhileTheAddressIsTaken(t *testing.T) {
+	b := prepare(t)
+	taken, err := net.Listen("tcp", b.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	b.start()
+	standin.Until(t, "it finds the address taken", b.said("event=listen_taken"))
+	since := b.term()
+	if err := standin.Take(t, "the exit", b.ended); err != nil || time.Since(since) > 2*time.Second {
+		t.Errorf("%v after %v", err, time.Since(since))
+	}
+	if b.said("event=start")() || len(b.reports) > 0 {
+		t.Error("it had begun")
+	}
+}
+
+// TestReloadHalfWritten: SIGHUP comes while the file is half written. It is read again, without another signal.
+func TestReloadHalfWritten(t *testing.T) {
+	b := prepare(t).start().ready()
+	raw, err := os.ReadFile(b.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for len(b.farm.Subscribes) > 0 {
+		<-b.farm.Subscribes
+	}
+	before := b.farm.Address
+	b.farm.Move()
+	text := strings.Replace(string(raw), before, b.farm.Address, 1)
+	b.configure(text[:len(text)/2])
+	standin.Until(t, "half of it is read", b.said("event=reload used=false"))
+	if err := os.WriteFile(b.config, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	standin.Take(t, "a link to the new address", b.farm.Subscribes)
+}
+
+// TestStoppedWithinAFrame: the process is stopped for longer than a frame may take, with half of one read. The rest comes
+// when it goes on, and is answered.
+func TestStoppedWithinAFrame(t *testing.T) {
+	b := prepare(t).start().ready()
+	n := standin.Dial(t, b.address)
+	whole := standin.Invocation(1, 1)
+	n.Send(whole[:40])
+	other := standin.Dial(t, b.address)
+	other.Send(standin.Raw(20, 1, "\x00"))
+	other.Expect() // what was sent before it has been read
+	b.cmd.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(2500 * time.Millisecond) // it has to last
+	b.cmd.Process.Signal(syscall.SIGCONT)
+	time.Sleep(600 * time.Millisecond) // two looks at all connections, before the rest comes
+	n.Send(whole[40:])
+	l := standin.Take(t, "a launch", b.farm.Launches)
+	b.farm.End(l.ID, "complete", "r")
+	if f := n.Expect(); f.Code != 1 {
+		t.Error(f)
+	}
+}
+
+// TestShortStop: the stop comes before the grace is over. Callers send without pause until they are asked for no more, and
+// for as long after it as may cross; each gets an answer, and the connection ends without a reset.
+func TestShortStop(t *testing.T) {
+	b := prepare(t, `"stop_ms":1500`, `"stop_ms":280`, `"deadline_ms":5000`, `"deadline_ms":300`, `"aim_ms":2000`, `"aim_ms":150`).start().ready()
+	c, err := net.Dial("tcp", b.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	go func() {
+		for l := range b.farm.Launches {
+			b.farm.End(l.ID, "complete", "r")
+		}
+	}()
+	asked, sent := make(chan struct{}), make(chan int, 1)
+	go func() {
+		number, last := 0, time.Time{}
+		for {
+			select {
+			case <-asked:
+				asked, last = nil, time.Now().Add(20*time.Millisecond)
+			default:
+			}
+			if !last.IsZero() && time.Now().After(last) {
+				sent <- number
+				return
+			}
+			number++
+			io.WriteString(c, standin.Invocation(uint32(number), number, "wait=300"))
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	time.Sleep(50 * time.Millisecond)
+	b.term()
+	answers, noMore, head := 0, asked, make([]byte, 9)
+	for {
+		c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		if _, err = io.ReadFull(c, head); err != nil {
+			break
+		}
+		rest := make([]byte, binary.BigEndian.Uint32(head)-5)
+		if _, err = io.ReadFull(c, rest); err != nil {
+			break
+		}
+		switch head[4] {
+		case 11:
+			answers++
+		case 30:
+			close(noMore)
+		}
+	}
+	if n := standin.Take(t, "the last one sent", sent); err != io.EOF || answers != n {
+		t.Errorf("%d answers of %d, then %v", answers, n, err)
+	}
+	if err := standin.Take(t, "the exit", b.ended); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestOffUntilTaken: the register takes nothing while the backend leaves, and then does: off comes until then.
+func TestOffUntilTaken(t *testing.T) {
+	b := prepare(t)
+	status := make(chan int, 1)
+	status <- http.StatusNoContent
+	roster, reports := standin.NewRoster(t, func(w http.ResponseWriter, _ *http.Request) {
+		now := <-status
+		status <- now
+		w.WriteHeader(now)
+	})
+	b.config = config(t, b.address, b.farm.Address, roster)
+	b.start().ready()
+	standin.Take(t, "a report", reports)
+	n := standin.Dial(t, b.address) // so that it stays for the grace and longer
+	n.Send(standin.Raw(20, 1, "\x00"))
+	n.Expect()
+	<-status
+	status <- http.StatusServiceUnavailable
+	b.term()
+	off := func() {
+		for report := ""; !strings.Contains(report, "off"); {
+			report = standin.Take(t, "off", reports)
+		}
+	}
+	off()
+	off()
+	<-status
+	status <- http.StatusNoContent
+	off()
+	n.Close()
+	standin.Take(t, "the exit", b.ended)
+	for len(reports) > 0 {
+		if report := <-reports; strings.Contains(report, "on") {
+			t.Error(fmt.Sprint("listed again: ", report))
+		}
+	}
+}
--- a/edge/server.go
+++ b/edge/server.go
@@ -281,6 +281,7 @@
 // Sweep looks at all connections now and then, until done: it asks callers off those that rest for longer than
 // the gate wants, and ends those that have had their time.
 func (s *Server) Sweep(done <-chan struct{}) {
+	s.swept = time.Now() // it may be stopped before the first look too
 	tick := time.NewTicker(s.bounds.Sweep)
 	defer tick.Stop()
 	for {
