--- a/gate/share_test.go
+++ b/gate/share_test.go
@@ -23,7 +23,7 @@
 	return g
 }
 
-// TestUnitsBack: work that is throttled, or that the farm never ran, gives its unit back; what ran keeps it.
+// TestUnitsBack: work that is throttled, that the farm never ran or does not know, or whose caller left before its launch, gives its unit back; what ran keeps it.
 func TestUnitsBack(t *testing.T) {
 	g := drawing(t)
 	for n := range 8 { // more than there are units
@@ -38,7 +38,7 @@
 	}
 
 	g = drawing(t)
-	for n, end := range []End{RunSucceeded, NeverRan, NeverRan, RunErrored, NeverRan} {
+	for n, end := range []End{RunSucceeded, NeverRan, Unrunnable, RunErrored, NeverRan} {
 		w, ticket := g.Pick(usual(fmt.Sprint("run", n)))
 		if w.Verdict != Run {
 			t.Fatalf("run %d: verdict %d", n, w.Verdict)
