A farm whose samples come too late to count is slow, not silent: its link stays

Found reading again: Link.gauge noted that the link had brought something only for the newest sample. Any sample counts now as a sign of life. TestLateSamples; before: 'another link was made'. TestMoveToNobody: a move to an address where nobody listens, and back.

--- a/farm/farm_test.go
+++ b/farm/farm_test.go
@@ -287,3 +287,41 @@
 		t.Errorf("%+v, launched again %d times", end, len(a.Launches))
 	}
 }
+
+// TestLateSamples: a farm that answers each sample too late to count is slow, not silent: its link stays.
+func TestLateSamples(t *testing.T) {
+	a := standin.NewFarm(t)
+	l := keep(t, a)
+	standin.Take(t, "the first link", a.Subscribes)
+	standin.Take(t, "a sample", l.Sampled())
+	a.With(func(_, gauges *string) { *gauges = "" })
+	for began := time.Now(); time.Since(began) < l.bounds.LinkSilent*3/2; time.Sleep(20 * time.Millisecond) {
+		l.Sample()
+		a.Send("sampled t1 0.1 1 0 0\r\n")
+	}
+	if len(a.Subscribes) > 0 {
+		t.Error("another link was made")
+	}
+}
+
+// TestMoveToNobody: nobody listens at the new address. Runs go on over the link in use, and a move back leaves one link.
+func TestMoveToNobody(t *testing.T) {
+	a := standin.NewFarm(t)
+	l := keep(t, a)
+	standin.Take(t, "the first link", a.Subscribes)
+	standin.Take(t, "a sample", l.Sampled())
+	l.Move("127.0.0.1:1")
+	for k, id := range []string{"00000000000000f1", "00000000000000f2"} {
+		run := l.Launch(id, "look", nil)
+		standin.Take(t, "a launch", a.Launches)
+		a.End(id, "complete", id)
+		if end := standin.Take(t, "its end", run.Done()); string(end.Result) != id || !l.Up() {
+			t.Errorf("%+v, up %t", end, l.Up())
+		}
+		if k == 0 {
+			l.Move(a.Address)
+			standin.Take(t, "a link beside it", a.Subscribes)
+			standin.Take(t, "a sample of it", l.Sampled())
+		}
+	}
+}
--- a/farm/link.go
+++ b/farm/link.go
@@ -422,10 +422,14 @@
 func (l *Link) gauge(conn net.Conn, n notice) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.conn != conn || string(n.tag) != sampleTag(l.tag) {
+	if l.conn != conn {
 		return
 	}
-	l.asked, l.line = false, time.Now()
+	l.line = time.Now()
+	if string(n.tag) != sampleTag(l.tag) {
+		return
+	}
+	l.asked = false
 	if !l.synced {
 		l.synced = true
 		for _, r := range l.runs { // it is not known which of them the farm has read; known ones do no harm
