Operations known by their tokens are carried: one run, whose result their repeats get

A variant of ours whose toll-debit is deduplicated was refused at the start ('has no field in the frames').

A link that was accepted and not greeted, where the farm had greeted before, is tried anew after 2 s (farm TestSilentBeforeItsGreeting).

--- a/cmd/milletbarrow/moments_test.go
+++ b/cmd/milletbarrow/moments_test.go
@@ -200,3 +200,38 @@
 		}
 	}
 }
+
+// TestRepeatsDuringTheDrain: an operation known by its tokens. Its first caller has reset its connection, SIGTERM comes, a
+// repeat within the grace and the farm's link breaks: one run, whose result the repeat gets; a repeat after the grace is
+// errored, not throttled, and the process ends in order.
+func TestRepeatsDuringTheDrain(t *testing.T) {
+	b := prepare(t, `"at_most_once"`, `"deduplicated","window_ms":5000`, `"run_factor"`, `"key_kb":20,"run_factor"`).start().ready()
+	first, second := standin.Dial(t, b.address), standin.Dial(t, b.address)
+	second.Send(standin.Raw(20, 1, "\x00"))
+	second.Expect()
+	first.Send(standin.Invocation(1, 1, "class=post", "once=x"))
+	l := standin.Take(t, "a launch", b.farm.Launches)
+	first.Conn.(*net.TCPConn).SetLinger(0)
+	first.Close()
+	b.term()
+	second.Send(standin.Invocation(2, 2, "class=post", "once=x", "retry=1"))
+	if f := second.Expect(); f.Type != 30 {
+		t.Fatalf("%v: not the end of the grace", f)
+	}
+	second.Send(standin.Invocation(3, 3, "class=post", "once=x", "retry=1"))
+	if f := second.Expect(); f.Stream != 3 || f.Code != 3 {
+		t.Errorf("after the grace: %v", f)
+	}
+	b.farm.Cut()
+	b.farm.End(l.ID, "complete", "the one result")
+	if f := second.Expect(); f.Stream != 2 || f.Code != 1 || f.Body != "the one result" {
+		t.Errorf("within the grace: %v", f)
+	}
+	if len(b.farm.Launches) > 0 {
+		t.Errorf("launched again: %v", <-b.farm.Launches)
+	}
+	second.Close()
+	if err := standin.Take(t, "the exit", b.ended); err != nil {
+		t.Error(err)
+	}
+}
--- a/edge/conn.go
+++ b/edge/conn.go
@@ -9,6 +9,7 @@
 
 	"github.com/cloudwego/netpoll"
 
+	"milletbarrow/admit"
 	"milletbarrow/frame"
 	"milletbarrow/gate"
 )
@@ -206,6 +207,8 @@
 		err = errOperation
 	case tenant == 0 && len(s.tenants) > 0:
 		err = errTenant
+	case s.sheet.Terms.Operations[op-1].Repeat == admit.Tokened && (len(in.Once) == 0 || len(in.Once) > s.bounds.Token):
+		err = errToken
 	}
 	if err != nil {
 		c.odd("invocation", err)
@@ -215,6 +218,7 @@
 	inv := gate.Invocation{
 		ID: string(in.ID), Operation: op - 1, Tenant: max(tenant-1, 0), Rank: in.Rank, KB: in.KB, Retry: in.Retry,
 		Work: in.Work, At: gate.FromWall(in.At), Wait: in.Wait,
+		Token: string(in.Once),
 	}
 	st := &stream{number: h.Stream, left: make(chan struct{})}
 	inv.Left = st.left
@@ -225,8 +229,13 @@
 		c.odd("stream_again", nil)
 		c.fail(h.Stream)
 	case !room || !s.enter():
-		// More than may be open here, or than this process can hold: it never ran, another may have room.
-		c.put(func(to []byte) []byte { return frame.AppendAnswer(to, h.Stream, frame.Throttled, 0, false, nil) })
+		// More than may be open here, or than this process can hold: it never ran, another may have room. Not for a
+		// repeat of what ran here: the other would run it again.
+		code := frame.Throttled
+		if s.gate.Repeats(inv) {
+			code = frame.Errored
+		}
+		c.put(func(to []byte) []byte { return frame.AppendAnswer(to, h.Stream, code, 0, false, nil) })
 		c.forget(st)
 	default: // the body outlives the buffer that it was read into
 		go s.carry(c, st, inv, s.sheet.Operations[op-1], append([]byte(nil), in.Body...))
--- /dev/null
+++ b/edge/repeat_test.go
@@ -0,0 +1,102 @@
+package edge
+
+import (
+	"net"
+	"testing"
+
+	"milletbarrow/admit"
+	"milletbarrow/limit"
+	"milletbarrow/standin"
+	"milletbarrow/terms"
+)
+
+// tokened has the operation post known by its tokens.
+func tokened(b *limit.Bounds, sheet *terms.Sheet) {
+	sheet.Terms.KeyKB = 20
+	op := &sheet.Terms.Operations[1]
+	op.Repeat, op.Window = admit.Tokened, 5_000_000
+}
+
+// TestRepeatsOfOneRun: one run brings the answer to a repeat that comes while it runs, though its own caller has reset the
+// connection, and to one that comes after it. The farm's link breaks between the two.
+func TestRepeatsOfOneRun(t *testing.T) {
+	s := open(t, tokened)
+	first, second := standin.Dial(t, s.address), standin.Dial(t, s.address)
+	first.Send(standin.Invocation(1, 1, "class=post", "once=x"))
+	l := standin.Take(t, "a launch", s.theFarm.Launches)
+	second.Send(standin.Invocation(1, 2, "class=post", "once=x", "retry=1"))
+	standin.Until(t, "the repeat waits", func() bool { return s.inGate() == 2 })
+	first.Conn.(*net.TCPConn).SetLinger(0)
+	first.Close()
+	standin.Until(t, "its caller has left", func() bool { c, _ := s.gate.Counts(); return c.Left == 1 })
+	for len(s.theFarm.Subscribes) > 0 {
+		<-s.theFarm.Subscribes
+	}
+	s.theFarm.Cut()
+	s.theFarm.End(l.ID, "complete", "the one result") // while there is no link
+	if f := second.Expect(); f.Code != 1 || f.Body != "the one result" {
+		t.Errorf("the repeat beside it: %v", f)
+	}
+	second.Send(standin.Invocation(1, 3, "class=post", "once=x", "retry=1")) // the stream number too comes again
+	if f := second.Expect(); f.Code != 1 || f.Body != "the one result" {
+		t.Errorf("the repeat after it: %v", f)
+	}
+	if len(s.theFarm.Launches) > 0 {
+		t.Errorf("launched again: %v", <-s.theFarm.Launches)
+	}
+	standin.Until(t, "nothing is carried", func() bool { _, carried := s.Counts(); return carried == 0 && s.inGate() == 0 })
+}
+
+// TestRepeatBeforeItsFirstIsLaunched: the first's caller takes it back between the word that it may run and its launch, with
+// a repeat that waits for it. Nothing ran, so the repeat may come again, and runs then.
+func TestRepeatBeforeItsFirstIsLaunched(t *testing.T) {
+	s := open(t, tokened)
+	stopped, goOn := make(chan struct{}), make(chan struct{})
+	seam := func() { stopped <- struct{}{}; <-goOn }
+	s.seam.Store(&seam)
+	n := standin.Dial(t, s.address)
+	n.Send(standin.Invocation(1, 1, "class=post", "once=x"))
+	standin.Take(t, "the word that it may run", stopped)
+	s.seam.Store(nil)
+	n.Send(standin.Invocation(2, 2, "class=post", "once=x", "retry=1"))
+	standin.Until(t, "the repeat waits", func() bool { return s.inGate() == 2 })
+	n.Send(standin.Raw(12, 1, ""))
+	n.Send(standin.Raw(20, 3, "\x00"))
+	n.Expect() // type 12 has been read
+	close(goOn)
+	if f := n.Expect(); f.Stream != 2 || f.Code != 2 || f.Fields != "after=50" {
+		t.Errorf("the repeat: %v", f)
+	}
+	n.Send(standin.Invocation(4, 4, "class=post", "once=x", "retry=1"))
+	if l := s.run(t, "complete", "r"); l.ID != "0000000000000004" {
+		t.Errorf("launched %v", l)
+	}
+	if f := n.Expect(); f.Stream != 4 || f.Code != 1 {
+		t.Errorf("the next: %v", f)
+	}
+}
+
+// TestTokensOnFrames: one without a token is errored and not run, as is one whose token is beyond all bounds. Where no more
+// may be open, a repeat is errored, as another backend would run it again, and new work is throttled.
+func TestTokensOnFrames(t *testing.T) {
+	tr := standin.NewTrace(t)
+	s := open(t, func(b *limit.Bounds, sheet *terms.Sheet) {
+		tokened(b, sheet)
+		b.Streams = 1
+	})
+	n := standin.Dial(t, s.address)
+	ask := func(what string, stream uint32, edits ...string) {
+		n.Send(standin.Invocation(stream, int(stream), append(edits, "class=post")...))
+		tr.Say("%s: %v", what, n.Expect())
+	}
+	ask("no token", 1)
+	ask("a long one", 3, "once=0123456789012345678901234567890123456789012345678901234567890123456789")
+	n.Send(standin.Invocation(5, 5, "class=post", "once=x"))
+	l := standin.Take(t, "a launch", s.theFarm.Launches)
+	ask("a repeat where no more may be open", 6, "once=x", "retry=1")
+	ask("new work there", 7, "once=y")
+	s.theFarm.End(l.ID, "error", "")
+	tr.Say("its run is errored: %v", n.Expect())
+	ask("its repeat", 8, "once=x", "retry=1")
+	tr.Say("launched besides: %d", len(s.theFarm.Launches))
+}
--- a/edge/server.go
+++ b/edge/server.go
@@ -30,6 +30,7 @@
 	errTooLong   = errors.New("too long for an invocation")
 	errOperation = errors.New("unknown operation")
 	errTenant    = errors.New("unknown tenant")
+	errToken     = errors.New("no token, and a repeat must be known")
 )
 
 // Server is all that faces the edge nodes.
@@ -217,14 +218,14 @@
 	}
 	select {
 	case <-st.left: // before it went out
-		s.gate.Report(ticket, gate.Unrunnable)
+		s.gate.Report(ticket, gate.Unrunnable, nil)
 		return
 	default:
 	}
 	select {
 	case word := <-ticket.Final(): // likewise, and the answer is out: nothing is run for nobody
 		s.say(c, st, word)
-		s.gate.Report(ticket, gate.NeverRan)
+		s.gate.Report(ticket, gate.NeverRan, nil)
 		return
 	default:
 	}
@@ -236,7 +237,7 @@
 			if end.End == gate.Unrunnable {
 				c.odd("unrunnable", nil)
 			}
-			switch owed := s.gate.Report(ticket, end.End); {
+			switch owed := s.gate.Report(ticket, end.End, end.Result); {
 			case owed && end.End == gate.RunSucceeded:
 				c.answer(st, frame.Succeeded, 0, false, end.Result)
 			case owed:
@@ -253,7 +254,7 @@
 			s.say(c, st, word)
 		case <-left:
 			left = nil
-			s.gate.Report(ticket, gate.CallerLeft)
+			s.gate.Report(ticket, gate.CallerLeft, nil)
 		}
 	}
 }
@@ -265,6 +266,8 @@
 		c.answer(st, frame.Throttled, w.Away, w.DontRetry, nil)
 	case gate.Errored:
 		c.answer(st, frame.Errored, 0, false, nil)
+	case gate.Repeated:
+		c.answer(st, frame.Succeeded, 0, false, w.Result)
 	}
 }
 
--- a/farm/farm_test.go
+++ b/farm/farm_test.go
@@ -288,6 +288,37 @@
 	}
 }
 
+// TestSilentBeforeItsGreeting: a link that was made anew is accepted and never greeted, though the farm had greeted before.
+// It is tried anew, as is one beside a silent link. What was launched meanwhile goes out once.
+func TestSilentBeforeItsGreeting(t *testing.T) {
+	for what, beside := range map[string]bool{"beside": true, "alone": false} {
+		t.Run(what, func(t *testing.T) {
+			t.Parallel()
+			a := standin.NewFarm(t)
+			l := keep(t, a)
+			standin.Take(t, "the first link", a.Subscribes)
+			standin.Take(t, "a sample", l.Sampled())
+			a.With(func(state, _ *string) { *state = "" })
+			if beside {
+				a.Move()
+				l.Move(a.Address)
+			} else {
+				a.Cut()
+			}
+			standin.Take(t, "a link that is not greeted", a.Subscribes)
+			run := l.Launch("00000000000000e2", "look", nil)
+			standin.Until(t, "another", func() bool { l.Sample(); return len(a.Subscribes) > 0 })
+			<-a.Subscribes
+			a.With(func(state, _ *string) { *state = "hot 1" })
+			standin.Take(t, "a launch", a.Launches)
+			a.End("00000000000000e2", "complete", "r")
+			if end := standin.Take(t, "its end", run.Done()); string(end.Result) != "r" || len(a.Launches) != 0 {
+				t.Errorf("%+v, launched again %d times", end, len(a.Launches))
+			}
+		})
+	}
+}
+
 // TestLateSamples: a farm that answers each sample too late to count is slow, not silent: its link stays.
 func TestLateSamples(t *testing.T) {
 	a := standin.NewFarm(t)
--- a/farm/link.go
+++ b/farm/link.go
@@ -46,6 +46,8 @@
 	wake    *sync.Cond // there is something to write, or the link is over
 	conn    net.Conn   // all that is written goes to it, but for the first word of the next
 	before  net.Conn   // the one it took over from
+	came    bool       // the farm has greeted us once: it is up as long as we are
+	nextAt  time.Time  // when next was made
 	next    net.Conn   // subscribed, and takes over once it is greeted or conn ends; nil while conn is not level
 	out     []byte     // to be written
 	runs    map[string]*Run
@@ -194,12 +196,13 @@
 	err     error
 }
 
-// silent: the link in use was greeted, and has brought nothing for long though it was asked. Where another is on its way,
-// nothing is to be done about it, nor before the greeting: a farm may come up late.
+// silent: the link in use has brought nothing for long though it was asked, or has not been greeted for long, and if another
+// is on its way, nor has that. Before the first greeting of all nothing is to be done about it: a farm may come up late.
 func (l *Link) silent() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.asked && l.next == nil && time.Since(l.line) > l.bounds.LinkSilent
+	long := l.bounds.LinkSilent
+	return (l.asked || l.came && !l.synced) && time.Since(l.line) > long && (l.next == nil || time.Since(l.nextAt) > long)
 }
 
 // subscribe brings a new connection in, subscribed from the last notice read. While the link in use is level, it goes on
@@ -213,7 +216,7 @@
 		l.next.Close()
 	}
 	if l.next = nil; l.synced {
-		l.next = conn
+		l.next, l.nextAt = conn, time.Now()
 		return first
 	}
 	l.takeOver(conn)
@@ -352,6 +355,7 @@
 			slog.Info("farm_up", "cold", n.cold, "ago_us", n.micros)
 			l.greeted(n.cold, n.micros)
 			l.mu.Lock()
+			l.came = true
 			if l.next == conn {
 				l.takeOver(conn)
 			}
--- a/frame/frame.go
+++ b/frame/frame.go
@@ -76,6 +76,7 @@
 // Invocation is the content of an invocation's frame, in slices of that frame.
 type Invocation struct {
 	Operation, ID, Tenant []byte
+	Once                  []byte       // the same in all tries of one piece of work; empty: not told
 	At                    admit.Micros // when it reached the machine, Unix time
 	Wait                  admit.Micros // its caller waits so long from then
 	Retry, Keyed          bool
@@ -97,6 +98,7 @@
 	hasKB
 	hasRank
 	hasKey
+	hasOnce
 	needed = hasClass | hasID | hasAt | hasWait | hasKB | hasRank
 )
 
@@ -146,6 +148,8 @@
 			}
 		case "key":
 			bit, inv.Keyed = hasKey, true
+		case "once":
+			bit, inv.Once = hasOnce, value
 		}
 		if err == nil && seen&bit != 0 {
 			err = errors.New("stands twice")
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"milletbarrow/admit"
+	"milletbarrow/kept"
 	"milletbarrow/levels"
 	"milletbarrow/limit"
 	"milletbarrow/proc"
@@ -43,6 +44,7 @@
 	At                Micros          // when it reached the machine
 	Wait              Micros          // its caller waits so long from then
 	Left              <-chan struct{} // closed once its caller is known to have gone
+	Token             string          // of a tokened operation: by which its repeats are known
 }
 
 // Verdict is what becomes of an invocation.
@@ -54,6 +56,7 @@
 	Throttled
 	Errored
 	Left
+	Repeated // succeeded as one that it repeats did, without a run of its own
 )
 
 // Word is a verdict with what the caller is told.
@@ -61,6 +64,7 @@
 	Verdict   Verdict
 	Away      Micros // stay away from this backend for so long
 	DontRetry bool   // do not try another either
+	Result    []byte // of the run that it repeats
 }
 
 // End is how a run ended, or why it no longer matters.
@@ -89,6 +93,8 @@
 	words    chan Word // at most Run and one final word
 	shed     Micros    // a level sheds it
 	drew     int       // the budget that a unit was drawn of for it, or -1
+	key      kept.Key  // by which its repeats are known; without a token there are none
+	earlier  string    // the one that it repeats
 	running  bool
 	answered bool // the final word is out, or none is owed
 }
@@ -119,11 +125,14 @@
 	ticked  Micros        // the last tick, or the opening
 	tick    chan struct{} // closed at the next tick; nil while nobody waits for it
 	counts  Counts
-	reduced *reduction // nil without a ladder
-	shares  *shares    // nil without fleet-wide budgets
-	watched *watched   // nil without settings to be watched
-	cold    bool       // the farm was, at the opening
-	opened  Micros     // as the module has it
+	reduced *reduction  // nil without a ladder
+	shares  *shares     // nil without fleet-wide budgets
+	watched *watched    // nil without settings to be watched
+	kept    *kept.Table // nil where no operation is tokened
+	ripe    []string    // repeats of what has ended, to be answered
+	ripens  bool        // somebody does so
+	cold    bool        // the farm was, at the opening
+	opened  Micros      // as the module has it
 }
 
 // Counts are what has passed since the start.
@@ -131,6 +140,7 @@
 	Picked, UsedUp           int // invocations, and those whose caller had stopped waiting when they were read
 	Run, Throttled, Errored  int
 	Left                     int // callers known to have gone
+	Repeated, Unkept         int // answered with an earlier result, and throttled as no more could be remembered
 	Ticks, Unsampled, Faults int // ticks, those that had no fresh sample, panics of the module
 }
 
@@ -143,7 +153,13 @@
 
 // New makes a gate that throttles everything until Open.
 func New(sheet *terms.Sheet, seed uint64, bounds limit.Bounds) *Gate {
-	return &Gate{sheet: sheet, seed: seed, bounds: bounds, hand: map[string]*Ticket{}}
+	g := &Gate{sheet: sheet, seed: seed, bounds: bounds, hand: map[string]*Ticket{}}
+	for _, op := range sheet.Terms.Operations {
+		if op.Repeat == admit.Tokened && g.kept == nil {
+			g.kept = kept.New(bounds.Kept, bounds.Result)
+		}
+	}
+	return g
 }
 
 // Open starts deciding: the farm is there and came up so long ago, cold or warm. Later calls change nothing.
@@ -190,7 +206,7 @@
 	select {
 	case word = <-t.words:
 	case <-inv.Left:
-		g.Report(t, CallerLeft)
+		g.Report(t, CallerLeft, nil)
 		word = <-t.words
 	}
 	if word.Verdict != Run {
@@ -234,13 +250,23 @@
 		t.words <- w
 		return t
 	}
+	tokened := g.name(inv, t)
+	away := Word{Verdict: Throttled, Away: g.sheet.Terms.MaxRetryAfter}
+	if t.earlier != "" { // that has run, or may yet: others must not be invited to run it too
+		away = Word{Verdict: Errored}
+	}
 	switch {
 	case g.hand[inv.ID] != nil: // ids are new with every try; this one is not, and must not end the other
 		return never(Word{Verdict: Errored})
 	case g.backend == nil:
 		return never(Word{Verdict: Throttled})
 	case g.closes != 0 && g.closes <= min(now, inv.At) && min(now, inv.At) <= g.module: // see Drain
-		return never(Word{Verdict: Throttled, Away: g.sheet.Terms.MaxRetryAfter})
+		return never(away)
+	case tokened && (inv.Token == "" || now-inv.At > g.readLate()): // what it repeats cannot be known, or may be forgotten
+		return never(Word{Verdict: Errored})
+	case tokened && t.earlier == "" && !g.kept.Room(): // its repeats would run again
+		g.counts.Unkept++
+		return never(away)
 	}
 	g.hand[inv.ID] = t
 	g.counts.Picked++
@@ -252,7 +278,7 @@
 		ID: inv.ID, Operation: inv.Operation, Tenant: inv.Tenant, Rank: inv.Rank, Retry: inv.Retry,
 		Hint: inv.Work, Waited: max(0, now-inv.At),
 		Budget: max(1, t.due-now), // a wait that is used up is due at once; 0 would mean that none was told
-		KB:     inv.KB, Shed: t.shed, Share: g.draw(&inv, t),
+		KB:     inv.KB, Earlier: t.earlier, Shed: t.shed, Share: g.draw(&inv, t),
 	})
 	if fault != nil {
 		g.answer(t, Word{Verdict: Errored})
@@ -260,9 +286,9 @@
 	return t
 }
 
-// Report tells how a run ended, or that the caller left. It returns whether the answer is still owed: if
-// not, it was the final word's or nobody waits for one.
-func (g *Gate) Report(t *Ticket, end End) (owed bool) {
+// Report tells how a run ended and what it brought, or that the caller left. It returns whether the answer is still
+// owed: if not, it was the final word's or nobody waits for one. The result may be kept.
+func (g *Gate) Report(t *Ticket, end End, result []byte) (owed bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if end == CallerLeft {
@@ -283,6 +309,7 @@
 		g.giveBack(t)
 	}
 	delete(g.hand, t.id)
+	g.ended(t, end, result)
 	g.decide(Now(), admit.Finished{ID: t.id, Outcome: outcomes[end]})
 	return owed
 }
@@ -296,6 +323,9 @@
 		return now + g.sheet.Terms.AnswerSlack/3
 	}
 	g.ticked = now
+	if g.kept != nil {
+		g.kept.Sweep(now, g.readLate(), Micros(g.bounds.Sweep.Microseconds()))
+	}
 	if g.tick != nil {
 		defer close(g.tick)
 		g.tick = nil
@@ -384,6 +414,9 @@
 	if !t.running {
 		g.giveBack(t)
 	}
+	if t.earlier != "" {
+		g.kept.Unwait(t.earlier, t.id)
+	}
 	switch w.Verdict {
 	case Throttled:
 		g.counts.Throttled++
@@ -394,6 +427,12 @@
 		g.counts.Errored++
 	case Left:
 		g.counts.Left++
+	case Repeated:
+		g.counts.Repeated++
+		g.reduced.count(levels.Answers)
+		if Now() > t.want {
+			g.reduced.count(levels.Tardy)
+		}
 	}
 	if !t.running {
 		delete(g.hand, t.id)
@@ -418,6 +457,7 @@
 		g.carryOut(act)
 	}
 	g.saw(now, ev)
+	g.ripen()
 	return nil
 }
 
@@ -437,6 +477,12 @@
 		if t := g.hand[a.ID]; t != nil {
 			g.answer(t, Word{Verdict: Errored})
 		}
+	case admit.Remember:
+		g.remember(a)
+	case admit.Forget:
+		g.ripe = append(g.ripe, g.kept.Forget(a.ID)...)
+	case admit.Reuse:
+		g.reuse(a.ID)
 	case admit.SetHealth:
 		if g.good != a.Good {
 			g.good = a.Good
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -45,12 +45,12 @@
 	say(tr, "idle cores", w, ticket, g)
 	same, none := g.Pick(usual("a"))
 	say(tr, "an id that is in hand", same, none, g)
-	tr.Say("its run succeeds: owed %t, in hand %d", g.Report(ticket, RunSucceeded), inHand(g))
+	tr.Say("its run succeeds: owed %t, in hand %d", g.Report(ticket, RunSucceeded, nil), inHand(g))
 
 	_, ticket = g.Pick(usual("b"))
-	g.Report(ticket, CallerLeft)
+	g.Report(ticket, CallerLeft, nil)
 	tr.Say("the caller left: final word %+v", <-ticket.Final())
-	tr.Say("its run succeeds: owed %t, in hand %d", g.Report(ticket, RunSucceeded), inHand(g))
+	tr.Say("its run succeeds: owed %t, in hand %d", g.Report(ticket, RunSucceeded, nil), inHand(g))
 
 	early := usual("c")
 	early.At -= 3_900_000 // due in 100 ms, of which the run on the farm knows nothing
@@ -60,7 +60,7 @@
 	}
 	late := Now() - (early.At + early.Wait)
 	tr.Say("due while it runs: final word %+v, too late %t", <-ticket.Final(), late > g.sheet.Terms.AnswerSlack)
-	tr.Say("its run succeeds after all: owed %t, in hand %d", g.Report(ticket, RunSucceeded), inHand(g))
+	tr.Say("its run succeeds after all: owed %t, in hand %d", g.Report(ticket, RunSucceeded, nil), inHand(g))
 
 	fault := usual("d")
 	fault.Operation = 99 // the module indexes its operations with it
@@ -68,7 +68,7 @@
 	say(tr, "a panic in the module", w, ticket, g)
 	w, ticket = g.Pick(usual("e"))
 	say(tr, "the next after it", w, ticket, g)
-	g.Report(ticket, RunErrored)
+	g.Report(ticket, RunErrored, nil)
 
 	n := 0
 	standin.Until(t, "the queue is beyond the threshold", func() bool {
@@ -77,7 +77,7 @@
 		inv := usual(fmt.Sprint("f", n))
 		inv.Left = gone // it does not wait in line
 		if w, ticket = g.Pick(inv); ticket != nil {
-			g.Report(ticket, NeverRan)
+			g.Report(ticket, NeverRan, nil)
 		}
 		return w.Verdict == Throttled
 	})
@@ -93,7 +93,7 @@
 	g.Drain(5_000_000, 300_000)
 	w, ticket := g.Pick(usual("within the grace"))
 	say(tr, "within the grace", w, ticket, g)
-	g.Report(ticket, RunSucceeded)
+	g.Report(ticket, RunSucceeded, nil)
 	g.Drain(4_000_000, 0)
 	w, ticket = g.Pick(usual("after it"))
 	say(tr, "brought forward", w, ticket, g)
@@ -120,7 +120,7 @@
 			t.Fatalf("verdict %d, in hand %d", w.Verdict, inHand(g))
 		}
 	}
-	if !g.Report(first, RunSucceeded) || inHand(g) != 0 {
+	if !g.Report(first, RunSucceeded, nil) || inHand(g) != 0 {
 		t.Errorf("the first is owed no answer, or is still in hand: %d", inHand(g))
 	}
 }
@@ -138,7 +138,7 @@
 	g.Open(false, 0)
 	w, ticket := g.Pick(usual("a"))
 	say(tr, "within the grace", w, ticket, g)
-	g.Report(ticket, RunSucceeded)
+	g.Report(ticket, RunSucceeded, nil)
 	standin.Until(t, "the grace is over", func() bool { return Now() > begun+100_000 })
 	w, ticket = g.Pick(usual("b"))
 	say(tr, "after it", w, ticket, g)
@@ -166,14 +166,14 @@
 		}
 		say(tr, fmt.Sprint("wait of ", wait), w, ticket, g)
 		if ticket != nil {
-			g.Report(ticket, RunSucceeded)
+			g.Report(ticket, RunSucceeded, nil)
 		}
 	}
 	inv = usual("future")
 	inv.At += 60_000_000
 	w, ticket = g.Pick(inv)
 	say(tr, "at is a minute ahead", w, ticket, g)
-	g.Report(ticket, RunSucceeded)
+	g.Report(ticket, RunSucceeded, nil)
 	tr.Say("in hand %d", inHand(g))
 }
 
@@ -189,7 +189,7 @@
 	tr.Say("open: good %t", g.Good())
 	_, ticket = g.Pick(usual("b"))
 	g.Open(true, 0) // the next link's greeting
-	tr.Say("greeted again: owed %t, good %t", g.Report(ticket, RunSucceeded), g.Good())
+	tr.Say("greeted again: owed %t, good %t", g.Report(ticket, RunSucceeded, nil), g.Good())
 }
 
 // TestBeatWithoutSamples: the timer never hangs on the farm; what is due is answered though no sample comes.
--- a/gate/reduce_test.go
+++ b/gate/reduce_test.go
@@ -35,7 +35,7 @@
 		w, ticket := g.Pick(inv)
 		say(tr, what, w, ticket, g)
 		if ticket != nil {
-			g.Report(ticket, RunSucceeded)
+			g.Report(ticket, RunSucceeded, nil)
 		}
 	}
 	quiet := []float64{0.1, 0, 0.1, 1}
@@ -52,7 +52,7 @@
 		inv.Operation, inv.Left = 1, gone
 		w, ticket := g.Pick(inv)
 		if ticket != nil {
-			g.Report(ticket, RunSucceeded)
+			g.Report(ticket, RunSucceeded, nil)
 		}
 		return w.Verdict != Throttled
 	})
@@ -70,7 +70,7 @@
 		inv.Operation = 1
 		w, ticket := g.Pick(inv)
 		if ticket != nil {
-			g.Report(ticket, RunSucceeded)
+			g.Report(ticket, RunSucceeded, nil)
 		}
 		if w.Verdict == Throttled {
 			shed++
--- /dev/null
+++ b/gate/repeat.go
@@ -0,0 +1,85 @@
+package gate
+
+import (
+	"milletbarrow/admit"
+	"milletbarrow/kept"
+)
+
+// name notes by what the repeats of a tokened invocation are known, and which one it repeats itself. The gate's lock is held.
+func (g *Gate) name(inv Invocation, t *Ticket) (tokened bool) {
+	ops := g.sheet.Terms.Operations
+	if inv.Operation >= len(ops) || ops[inv.Operation].Repeat != admit.Tokened {
+		return false
+	}
+	t.key = kept.Key{Operation: inv.Operation, Tenant: inv.Tenant, Token: inv.Token}
+	t.earlier = g.kept.Find(t.key, inv.At)
+	return true
+}
+
+// Repeats tells whether an invocation repeats one that is remembered here.
+func (g *Gate) Repeats(inv Invocation) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var t Ticket
+	return g.name(inv, &t) && t.earlier != ""
+}
+
+// readLate is how long ago what is read now can have reached the machine at most; what is older has no caller any more.
+func (g *Gate) readLate() (most Micros) {
+	for _, op := range g.sheet.Terms.Operations {
+		most = max(most, op.ClientTimeout)
+	}
+	return most + g.sheet.Terms.AnswerSlack
+}
+
+// remember keeps an invocation for as long as the module asks, and a little longer: whoever judges may read another clock.
+func (g *Gate) remember(a admit.Remember) {
+	if t := g.hand[a.ID]; t != nil {
+		g.kept.Remember(a.ID, t.key, Now()+a.For+g.sheet.Terms.AnswerSlack)
+	}
+}
+
+// reuse has a repeat wait for what it repeats, or answers it once the module's actions have been carried out.
+func (g *Gate) reuse(id string) {
+	if t := g.hand[id]; t != nil && !t.answered && g.kept.Wait(t.earlier, id) {
+		g.ripe = append(g.ripe, id)
+	}
+}
+
+// ended keeps how a run ended, for its repeats. One that never ran is forgotten: its repeat is the first.
+func (g *Gate) ended(t *Ticket, end End, result []byte) {
+	switch {
+	case t.key.Token == "":
+	case end == NeverRan || end == Unrunnable:
+		g.ripe = append(g.ripe, g.kept.Forget(t.id)...)
+	default:
+		g.ripe = append(g.ripe, g.kept.Ended(t.id, end == RunSucceeded, result)...)
+	}
+}
+
+// ripen answers repeats of what has ended: with its result, else as errored, since what they ask for may have happened.
+// Where nothing ran they may come again, and soon: what kept the first from running is over or was its caller's leaving.
+func (g *Gate) ripen() {
+	if g.ripens {
+		return
+	}
+	g.ripens = true
+	defer func() { g.ripens = false }()
+	for len(g.ripe) > 0 {
+		t := g.hand[g.ripe[0]]
+		g.ripe = g.ripe[1:]
+		if t == nil || t.answered {
+			continue
+		}
+		word, outcome := Word{Verdict: Errored}, admit.Errored
+		switch result, ok, ran := g.kept.Result(t.earlier); {
+		case ok:
+			word, outcome = Word{Verdict: Repeated, Result: result}, admit.OK
+		case !ran:
+			word = Word{Verdict: Throttled, Away: Micros(g.bounds.ComeBack.Microseconds())}
+		}
+		g.answer(t, word)
+		g.decide(Now(), admit.Finished{ID: t.id, Outcome: outcome})
+	}
+	g.ripe = nil
+}
--- /dev/null
+++ b/gate/repeat_test.go
@@ -0,0 +1,171 @@
+package gate
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"milletbarrow/limit"
+	"milletbarrow/standin"
+	"milletbarrow/terms"
+)
+
+// openTokened has the second operation known by its tokens, for as long as window.
+func openTokened(t *testing.T, window string, bounds func(*limit.Bounds)) *Gate {
+	var sheet terms.Sheet
+	text := strings.NewReplacer(`"at_most_once"`, `"deduplicated","window_ms":`+window, `"run_factor"`, `"key_kb":20,"run_factor"`).Replace(standin.Settings)
+	if err := json.Unmarshal([]byte(text), &sheet); err != nil {
+		t.Fatal(err)
+	}
+	b := limit.For(1, 192, 1024)
+	if bounds != nil {
+		bounds(&b)
+	}
+	g := New(&sheet, 1, b)
+	g.Open(false, 0)
+	return g
+}
+
+func tokened(id, token string) Invocation {
+	inv := usual(id)
+	inv.Operation, inv.Token = 1, token
+	return inv
+}
+
+// repeat picks one that waits, and returns where its word will come once it does wait.
+func repeat(t *testing.T, g *Gate, inv Invocation) <-chan Word {
+	word, n := make(chan Word, 1), inHand(g)
+	go func() { w, _ := g.Pick(inv); word <- w }()
+	standin.Until(t, "it waits", func() bool { return inHand(g) == n+1 || len(word) > 0 })
+	return word
+}
+
+// TestRepeats walks through what can become of the repeats of one piece of work.
+func TestRepeats(t *testing.T) {
+	tr := standin.NewTrace(t)
+	g := openTokened(t, "5000", nil)
+	told := func(what string, w Word, ticket *Ticket) {
+		tr.Say("%s: verdict %d, result %q, ticket %t, in hand %d", what, w.Verdict, w.Result, ticket != nil, inHand(g))
+	}
+	w, first := g.Pick(tokened("a", "x"))
+	told("the first", w, first)
+	waits := repeat(t, g, tokened("b", "x"))
+	w, other := g.Pick(tokened("c", "y"))
+	told("another piece of work", w, other)
+	g.Report(other, RunErrored, nil)
+	inv := tokened("d", "x")
+	inv.Tenant = 1
+	w, stranger := g.Pick(inv)
+	told("another tenant's of the same token", w, stranger)
+	g.Report(stranger, RunSucceeded, []byte("the stranger's"))
+	g.Report(first, CallerLeft, nil)
+	tr.Say("its run ends, its caller has left: owed %t", g.Report(first, RunSucceeded, []byte("r")))
+	told("the repeat that waited", standin.Take(t, "its word", waits), nil)
+	w, none := g.Pick(tokened("e", "x"))
+	told("a repeat after the end", w, none)
+	w, none = g.Pick(tokened("f", "y"))
+	told("a repeat of one that was errored", w, none)
+	w, none = g.Pick(tokened("g", ""))
+	told("no token", w, none)
+	old := tokened("h", "z")
+	old.At -= g.readLate() + 1000
+	old.Wait += g.readLate() + 1000
+	w, none = g.Pick(old)
+	told("so old that its first try may be forgotten", w, none)
+
+	_, first = g.Pick(tokened("i", "v"))
+	waits = repeat(t, g, tokened("j", "v"))
+	g.Report(first, NeverRan, nil)
+	told("a repeat of what never ran", standin.Take(t, "its word", waits), nil)
+	w, first = g.Pick(tokened("k", "v"))
+	told("and the next", w, first)
+	g.Report(first, RunSucceeded, []byte("v"))
+
+	_, first = g.Pick(tokened("l", "u"))
+	soon := tokened("m", "u")
+	soon.At -= 3_800_000 // due in 200 ms
+	waits = repeat(t, g, soon)
+	standin.Until(t, "it is due", func() bool { g.Tick([]float64{0.5, 1, 0, 0}); return len(waits) > 0 })
+	told("a repeat that is due before the end", <-waits, nil)
+	g.Report(first, RunSucceeded, []byte("u"))
+	c, _ := g.Counts()
+	tr.Say("run %d, repeated %d, errored %d, kept %d", c.Run, c.Repeated, c.Errored, g.kept.Len())
+}
+
+// TestRepeatOfWhatIsHeld: the first waits in line and its caller leaves. It never ran, so the next runs.
+func TestRepeatOfWhatIsHeld(t *testing.T) {
+	g := openTokened(t, "5000", nil)
+	reads := func(gauges ...float64) { // the module reads them now and then
+		since := Now()
+		standin.Until(t, "it reads them", func() bool { g.Tick(gauges); return Now() > since+50_000 })
+	}
+	reads(0.5, 3, 0.1, 1) // no core is free
+	left := make(chan struct{})
+	inv := tokened("a", "x")
+	inv.Left = left
+	first := repeat(t, g, inv)
+	waits := repeat(t, g, tokened("b", "x"))
+	if len(first) > 0 || len(waits) > 0 {
+		t.Fatal("they do not wait")
+	}
+	close(left)
+	if w := standin.Take(t, "the first's word", first); w.Verdict != Left {
+		t.Errorf("the first: %+v", w)
+	}
+	if w := standin.Take(t, "the repeat's word", waits); w.Verdict != Throttled || w.Away <= 0 {
+		t.Errorf("the repeat: %+v", w)
+	}
+	reads(0.1, 0, 0.1, 1)
+	if w, ticket := g.Pick(tokened("c", "x")); ticket == nil {
+		t.Errorf("the next: %+v", w)
+	}
+}
+
+// TestRepeatWindow: after the window it is new work; a repeat that arrived within it and is read later is none.
+func TestRepeatWindow(t *testing.T) {
+	g := openTokened(t, "20", nil)
+	_, first := g.Pick(tokened("a", "x"))
+	g.Report(first, RunSucceeded, []byte("r"))
+	at := Now()
+	standin.Until(t, "the window is over", func() bool { return Now() > at+120_000 })
+	g.Tick([]float64{0, 0, 0, 0})
+	read := tokened("b", "x")
+	read.At = at
+	if w, _ := g.Pick(read); w.Verdict != Repeated || string(w.Result) != "r" {
+		t.Errorf("read late: %+v", w)
+	}
+	w, again := g.Pick(tokened("c", "x"))
+	if again == nil {
+		t.Fatalf("after the window: %+v", w)
+	}
+	waits := repeat(t, g, tokened("d", "x"))
+	g.Report(again, RunSucceeded, []byte("s"))
+	if w := standin.Take(t, "the repeat's word", waits); w.Verdict != Repeated || string(w.Result) != "s" {
+		t.Errorf("beside it: %+v", w)
+	}
+}
+
+// TestRepeatsFull: what cannot be remembered is not run, with when to come back; what is remembered is answered all the same.
+func TestRepeatsFull(t *testing.T) {
+	g := openTokened(t, "5000", func(b *limit.Bounds) { b.Kept = 3 << 10; b.Result = 1 << 10 })
+	_, first := g.Pick(tokened("a", "x"))
+	w, none := g.Pick(tokened("b", "y"))
+	if w.Verdict != Throttled || w.Away <= 0 || none != nil {
+		t.Errorf("no room: %+v", w)
+	}
+	if w, ticket := g.Pick(usual("c")); ticket == nil {
+		t.Errorf("one that needs none: %+v", w)
+	}
+	g.Report(first, RunSucceeded, []byte("r"))
+	if w, _ := g.Pick(tokened("d", "x")); w.Verdict != Repeated {
+		t.Errorf("a repeat: %+v", w)
+	}
+	c, _ := g.Counts()
+	if c.Unkept != 1 || g.kept.Len() != 1 {
+		t.Errorf("%+v, kept %d", c, g.kept.Len())
+	}
+	g.Drain(4_000_000, -100_000)
+	if w, _ := g.Pick(tokened("e", "x")); w.Verdict != Errored {
+		t.Errorf("a repeat after the grace, which another would run: %+v", w)
+	}
+}
--- a/gate/share_test.go
+++ b/gate/share_test.go
@@ -43,7 +43,7 @@
 		if w.Verdict != Run {
 			t.Fatalf("run %d: verdict %d", n, w.Verdict)
 		}
-		g.Report(ticket, end)
+		g.Report(ticket, end, nil)
 	}
 	if v := g.Shares()[0]; v.Drawn != 3 || v.Denied != 0 {
 		t.Fatalf("two ran and the third unit came back: %d drawn, %d denied", v.Drawn, v.Denied)
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -33,6 +33,8 @@
 	Line      int   // a line from the farm, without what follows it
 	Unsent    int   // answers that one connection's peer leaves unread
 	UnsentAll int64 // the same for all connections together
+	Kept      int   // what is remembered of tokened operations, results included
+	Token     int   // by which a repeat is known
 	Spare     int   // a buffer that is kept for the next answers
 	Part      int   // the same for the beginnings of frames
 	Input     int   // what one connection's turn brings at the most
@@ -65,7 +67,7 @@
 	Bind   time.Duration // an address that is still taken, by one just killed, is tried for so long,
 	Rebind time.Duration // so often
 	Unread time.Duration // a peer that takes nothing for so long is gone
-	Sweep  time.Duration // between two looks at all connections
+	Sweep  time.Duration // between two looks at all connections, and at all that is remembered
 	Fresh  time.Duration // a connection this young may yet say something
 	Rests  time.Duration // one that has carried nothing for so long rests
 	Linger time.Duration // closed for writing, it waits so long for its peer's end
@@ -73,6 +75,7 @@
 	Hello  time.Duration // it has said something sound by then, and ended any frame that it began; under 3 s
 
 	// The life of the process.
+	ComeBack   time.Duration // a repeat that waited for what never ran may come again after so long
 	Quiet      time.Duration // between two log lines on the state, or on odd input of one kind
 	NoticeLate time.Duration // a notice may be heard so late; that much of the grace is not used
 	Reread     time.Duration // a file that cannot be used may be half written: it is read again after so long
@@ -108,6 +111,7 @@
 		Received: 64 << 10,
 		Unfit:    32,
 		Leaving:  leaving,
+		Token:    64,
 
 		SampleWait:   20 * time.Millisecond,
 		SampleOld:    300 * time.Millisecond,
@@ -139,6 +143,7 @@
 		Parting:      200 * time.Millisecond,
 		Reread:       50 * time.Millisecond,
 		Rereads:      40,
+		ComeBack:     50 * time.Millisecond,
 		Quiet:        10 * time.Second,
 		NoticeLate:   100 * time.Millisecond,
 		LastWords:    30 * time.Millisecond,
@@ -147,6 +152,7 @@
 	b.Content = b.Body + 8<<10
 	b.Unsent = 2 * b.Streams * (b.Result + 256)
 	b.UnsentAll = int64(memoryMB * mb / 8)
+	b.Kept = int(memoryMB * mb / 16)
 	b.Spare = 16 << 10
 	room := memoryMB * mb / 4 // for connections, and as much for invocations; the rest is for collections
 	b.Connections = max(1, min(sockets-spare-leaving, int(room/perConn)))
--- a/terms/backend.go
+++ b/terms/backend.go
@@ -152,11 +152,6 @@
 		return fmt.Errorf("settings.family_info.preemption: %q, and the farm has no line for it",
 			s.words.preemption)
 	}
-	for n := range t.Operations {
-		if s.words.repeats[n] != "idempotent" && s.words.repeats[n] != "at_most_once" {
-			return fmt.Errorf("settings.classes[%d].repeat: %q has no field in the frames", n, s.words.repeats[n])
-		}
-	}
 	return nil
 }
 
