A copy of another's mark with other content is other work: it gets nothing of that one's result

Frames printed: a bad client copies a frame's fields, the mark once too, with an id and a body of its own; genuine repeats have the first's body. The farm refuses such copies by their bodies, which a repeat answered from the table never reached. Work is now named by its mark and its content's digest. Reject-by-mark was not taken: a copy that comes first would then cost the caller its invocation. edge TestMarkOfAnothersWork; without the digest: 'waited in vain for a launch'.

--- a/cmd/milletbarrow/moments_test.go
+++ b/cmd/milletbarrow/moments_test.go
@@ -209,16 +209,16 @@
 	first, second := standin.Dial(t, b.address), standin.Dial(t, b.address)
 	second.Send(standin.Raw(20, 1, "\x00"))
 	second.Expect()
-	first.Send(standin.Invocation(1, 1, "class=post", "once=x"))
+	first.Send(standin.Try(1, 1, "x"))
 	l := standin.Take(t, "a launch", b.farm.Launches)
 	first.Conn.(*net.TCPConn).SetLinger(0)
 	first.Close()
 	b.term()
-	second.Send(standin.Invocation(2, 2, "class=post", "once=x", "retry=1"))
+	second.Send(standin.Try(2, 2, "x", "retry=1"))
 	if f := second.Expect(); f.Type != 30 {
 		t.Fatalf("%v: not the end of the grace", f)
 	}
-	second.Send(standin.Invocation(3, 3, "class=post", "once=x", "retry=1"))
+	second.Send(standin.Try(3, 3, "x", "retry=1"))
 	if f := second.Expect(); f.Stream != 3 || f.Code != 3 {
 		t.Errorf("after the grace: %v", f)
 	}
--- a/edge/conn.go
+++ b/edge/conn.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"crypto/sha256"
 	"log/slog"
 	"runtime/debug"
 	"sync"
@@ -218,7 +219,9 @@
 	inv := gate.Invocation{
 		ID: string(in.ID), Operation: op - 1, Tenant: max(tenant-1, 0), Rank: in.Rank, KB: in.KB, Retry: in.Retry,
 		Work: in.Work, At: gate.FromWall(in.At), Wait: in.Wait,
-		Token: string(in.Once),
+	}
+	if s.sheet.Terms.Operations[op-1].Repeat == admit.Tokened {
+		inv.Token = token(in.Once, in.Body)
 	}
 	st := &stream{number: h.Stream, left: make(chan struct{})}
 	inv.Left = st.left
@@ -242,6 +245,14 @@
 	}
 }
 
+// token is by what the repeats of a piece of work are known: its mark, and its content. A bad client may copy the mark of
+// another's work. With other content it is other work, which must neither get the other's result nor stand in its way;
+// the farm refuses it.
+func token(mark, body []byte) string {
+	sum := sha256.Sum256(body)
+	return string(mark) + string(sum[:])
+}
+
 // use notes that something sound was said, and opens the stream of an invocation. On a connection that ends there is
 // room for no more, but what comes is still answered.
 func (c *conn) use(st *stream) (again, room, gone bool) {
--- a/edge/repeat_test.go
+++ b/edge/repeat_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strings"
 	"testing"
 
 	"milletbarrow/admit"
@@ -22,9 +23,9 @@
 func TestRepeatsOfOneRun(t *testing.T) {
 	s := open(t, tokened)
 	first, second := standin.Dial(t, s.address), standin.Dial(t, s.address)
-	first.Send(standin.Invocation(1, 1, "class=post", "once=x"))
+	first.Send(standin.Try(1, 1, "x"))
 	l := standin.Take(t, "a launch", s.theFarm.Launches)
-	second.Send(standin.Invocation(1, 2, "class=post", "once=x", "retry=1"))
+	second.Send(standin.Try(1, 2, "x", "retry=1"))
 	standin.Until(t, "the repeat waits", func() bool { return s.inGate() == 2 })
 	first.Conn.(*net.TCPConn).SetLinger(0)
 	first.Close()
@@ -37,7 +38,7 @@
 	if f := second.Expect(); f.Code != 1 || f.Body != "the one result" {
 		t.Errorf("the repeat beside it: %v", f)
 	}
-	second.Send(standin.Invocation(1, 3, "class=post", "once=x", "retry=1")) // the stream number too comes again
+	second.Send(standin.Try(1, 3, "x", "retry=1")) // the stream number too comes again
 	if f := second.Expect(); f.Code != 1 || f.Body != "the one result" {
 		t.Errorf("the repeat after it: %v", f)
 	}
@@ -55,10 +56,10 @@
 	seam := func() { stopped <- struct{}{}; <-goOn }
 	s.seam.Store(&seam)
 	n := standin.Dial(t, s.address)
-	n.Send(standin.Invocation(1, 1, "class=post", "once=x"))
+	n.Send(standin.Try(1, 1, "x"))
 	standin.Take(t, "the word that it may run", stopped)
 	s.seam.Store(nil)
-	n.Send(standin.Invocation(2, 2, "class=post", "once=x", "retry=1"))
+	n.Send(standin.Try(2, 2, "x", "retry=1"))
 	standin.Until(t, "the repeat waits", func() bool { return s.inGate() == 2 })
 	n.Send(standin.Raw(12, 1, ""))
 	n.Send(standin.Raw(20, 3, "\x00"))
@@ -67,7 +68,7 @@
 	if f := n.Expect(); f.Stream != 2 || f.Code != 2 || f.Fields != "after=50" {
 		t.Errorf("the repeat: %v", f)
 	}
-	n.Send(standin.Invocation(4, 4, "class=post", "once=x", "retry=1"))
+	n.Send(standin.Try(4, 4, "x", "retry=1"))
 	if l := s.run(t, "complete", "r"); l.ID != "0000000000000004" {
 		t.Errorf("launched %v", l)
 	}
@@ -85,18 +86,57 @@
 		b.Streams = 1
 	})
 	n := standin.Dial(t, s.address)
-	ask := func(what string, stream uint32, edits ...string) {
-		n.Send(standin.Invocation(stream, int(stream), append(edits, "class=post")...))
+	ask := func(what string, stream uint32, token string, edits ...string) {
+		n.Send(standin.Try(stream, int(stream), token, edits...))
 		tr.Say("%s: %v", what, n.Expect())
 	}
-	ask("no token", 1)
-	ask("a long one", 3, "once=0123456789012345678901234567890123456789012345678901234567890123456789")
-	n.Send(standin.Invocation(5, 5, "class=post", "once=x"))
+	ask("no token", 1, "")
+	ask("a long one", 3, strings.Repeat("0123456789", 7))
+	n.Send(standin.Try(5, 5, "x"))
 	l := standin.Take(t, "a launch", s.theFarm.Launches)
-	ask("a repeat where no more may be open", 6, "once=x", "retry=1")
-	ask("new work there", 7, "once=y")
+	ask("a repeat where no more may be open", 6, "x", "retry=1")
+	ask("new work there", 7, "y")
 	s.theFarm.End(l.ID, "error", "")
 	tr.Say("its run is errored: %v", n.Expect())
-	ask("its repeat", 8, "once=x", "retry=1")
+	ask("its repeat", 8, "x", "retry=1")
 	tr.Say("launched besides: %d", len(s.theFarm.Launches))
 }
+
+// TestMarkOfAnothersWork: a bad client copies the mark of another's work, beside it and before it. It gets nothing of that
+// one's result, the farm refuses it, and the other is run and its repeat answered as if it had not come.
+func TestMarkOfAnothersWork(t *testing.T) {
+	s := open(t, tokened)
+	n, bad := standin.Dial(t, s.address), standin.Dial(t, s.address)
+	copied := func(stream uint32, number int) {
+		fields := standin.Fields(standin.Usual(number, "class=post", "once=x")...)
+		bad.Send(standin.Raw(10, stream, fields+"what it would like"))
+	}
+	refused := func() {
+		l := standin.Take(t, "the copy's launch", s.theFarm.Launches)
+		if l.Body != "what it would like" {
+			t.Fatalf("launched %v", l)
+		}
+		s.theFarm.Refuse(l.ID)
+		if f := bad.Expect(); f.Code != 3 || f.Body != "" {
+			t.Errorf("the copy: %v", f)
+		}
+	}
+	copied(1, 1)
+	l := standin.Take(t, "the launch of the copy that came first", s.theFarm.Launches)
+	n.Send(standin.Try(1, 2, "x"))
+	own := standin.Take(t, "a launch", s.theFarm.Launches)
+	s.theFarm.Refuse(l.ID)
+	bad.Expect()
+	copied(2, 3)
+	refused()
+	s.theFarm.End(own.ID, "complete", "r")
+	if f := n.Expect(); f.Code != 1 || f.Body != "r" {
+		t.Errorf("the work: %v", f)
+	}
+	copied(3, 4)
+	refused()
+	n.Send(standin.Try(2, 5, "x", "retry=1"))
+	if f := n.Expect(); f.Code != 1 || f.Body != "r" {
+		t.Errorf("its repeat: %v", f)
+	}
+}
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -148,6 +148,12 @@
 	return Raw(10, stream, Fields(Usual(number, edits...)...)+fmt.Sprint("body ", number))
 }
 
+// Try makes the frame of one try of the work that a token names, in the operation post; its content goes by the token.
+func Try(stream uint32, number int, token string, edits ...string) string {
+	fields := Usual(number, append(edits, "class=post", "once="+token)...)
+	return Raw(10, stream, Fields(fields...)+"work "+token)
+}
+
 // Node is an edge node with one connection.
 type Node struct {
 	t testing.TB
