--- a/cmd/milletbarrow/serve.go
+++ b/cmd/milletbarrow/serve.go
@@ -335,7 +335,8 @@
 	slog.Info(event, "connections", conns, "carried", carried, "in_hand", inHand,
 		"goroutines", runtime.NumGoroutine(), "heap_kb", m.HeapAlloc>>10, "system_kb", m.Sys>>10,
 		"collections", m.NumGC, "picked", n.Picked, "used_up", n.UsedUp, "run", n.Run, "throttled", n.Throttled,
-		"errored", n.Errored, "left", n.Left, "ticks", n.Ticks, "unsampled", n.Unsampled, "faults", n.Faults)
+		"errored", n.Errored, "left", n.Left, "ticks", n.Ticks, "unsampled", n.Unsampled, "faults", n.Faults,
+		"repeated", n.Repeated, "unkept", n.Unkept)
 	if c, on := g.Watched(); on {
 		slog.Info("watched", "otherwise", c.String())
 	}
