An id that is remembered is not new: a copy of it is errored and has nothing forgotten

One id followed through the log of n2: reported errored at 3.553 s, then as unknown to the farm at 3.564 s: a bad client had copied the id with other content after the end, and gate.ended let Forget go by the id. edge TestMarkOfAnothersWork; without the mend its repeat is code 3.

--- a/edge/repeat_test.go
+++ b/edge/repeat_test.go
@@ -135,6 +135,10 @@
 	}
 	copied(3, 4)
 	refused()
+	copied(4, 2) // the id too
+	if f := bad.Expect(); f.Stream != 4 || f.Code != 3 || f.Body != "" {
+		t.Errorf("a copy with the id of the work: %v", f)
+	}
 	n.Send(standin.Try(2, 5, "x", "retry=1"))
 	if f := n.Expect(); f.Code != 1 || f.Body != "r" {
 		t.Errorf("its repeat: %v", f)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -256,7 +256,8 @@
 		away = Word{Verdict: Errored}
 	}
 	switch {
-	case g.hand[inv.ID] != nil: // ids are new with every try; this one is not, and must not end the other
+	case g.hand[inv.ID] != nil || g.kept != nil && g.kept.Has(inv.ID):
+		// Ids are new with every try; this one is not, and must not end the other, nor have it forgotten.
 		return never(Word{Verdict: Errored})
 	case g.backend == nil:
 		return never(Word{Verdict: Throttled})
--- a/kept/kept.go
+++ b/kept/kept.go
@@ -41,7 +41,8 @@
 	waiting []string // repeats that are to have what it brings
 }
 
-// New makes a table of so many bytes, for results of at most so many.
+// New makes a table of so many bytes, for results of at most so many. Ids are those of invocations: of two that bear one
+// id, the second must not come here.
 func New(room, result int) *Table {
 	return &Table{room: room, result: result, byKey: map[Key]*entry{}, byID: map[string]*entry{}}
 }
@@ -49,6 +50,9 @@
 // Room tells whether one more can be remembered.
 func (t *Table) Room() bool { return t.used+overhead+t.result <= t.room }
 
+// Has tells whether the invocation of that id is remembered.
+func (t *Table) Has(id string) bool { return t.byID[id] != nil }
+
 // Len is how many are remembered.
 func (t *Table) Len() int { return len(t.byID) }
 
@@ -63,9 +67,6 @@
 
 // Remember keeps an invocation. It takes the place of one of the same key whose time was over.
 func (t *Table) Remember(id string, k Key, until Micros) {
-	if t.byID[id] != nil {
-		return
-	}
 	if old := t.byKey[k]; old != nil {
 		t.remove(old)
 	}
