--- a/edge/conn.go
+++ b/edge/conn.go
@@ -208,6 +208,8 @@
 		err = errOperation
 	case tenant == 0 && len(s.tenants) > 0:
 		err = errTenant
+	case !in.Told && !s.sheet.Untold:
+		err = errWait
 	case s.sheet.Terms.Operations[op-1].Repeat == admit.Tokened && (len(in.Once) == 0 || len(in.Once) > s.bounds.Token):
 		err = errToken
 	}
@@ -220,6 +222,9 @@
 		ID: string(in.ID), Operation: op - 1, Tenant: max(tenant-1, 0), Rank: in.Rank, KB: in.KB, Retry: in.Retry,
 		Work: in.Work, At: gate.FromWall(in.At), Wait: in.Wait,
 	}
+	if !in.Told {
+		inv.Wait = s.sheet.Terms.Operations[op-1].ClientTimeout
+	}
 	if s.sheet.Terms.Operations[op-1].Repeat == admit.Tokened {
 		inv.Token = token(in.Once, in.Body)
 	}
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -472,3 +472,31 @@
 	})
 	tr.Say("%s", fmt.Sprint("connections left: ", len(s.all())))
 }
+
+// TestWaitUntold: where the settings say that callers do not tell how long they wait, it is the client timeout, on time
+// though the run does not end; elsewhere such a frame is errored.
+func TestWaitUntold(t *testing.T) {
+	s := open(t, nil)
+	n := standin.Dial(t, s.address)
+	n.Send(standin.Invocation(1, 1, "wait="))
+	if f := n.Expect(); f.Code != 3 || len(s.theFarm.Launches) > 0 {
+		t.Errorf("where they tell: %v", f)
+	}
+	s = open(t, func(_ *limit.Bounds, sheet *terms.Sheet) {
+		sheet.Untold = true
+		sheet.Terms.Operations[0].ClientTimeout = 300_000
+		sheet.Terms.Operations[0].Objective = 200_000
+	})
+	n = standin.Dial(t, s.address)
+	n.Send(standin.Invocation(1, 1, "wait="))
+	s.run(t, "complete", "r")
+	if f := n.Expect(); f.Code != 1 {
+		t.Errorf("the first: %v", f)
+	}
+	since := time.Now()
+	n.Send(standin.Invocation(2, 2, "wait="))
+	standin.Take(t, "a launch", s.theFarm.Launches)
+	if f, took := n.Expect(), time.Since(since); f.Code != 3 || took < 200*time.Millisecond || took > 380*time.Millisecond {
+		t.Errorf("whose run does not end: %v after %v", f, took)
+	}
+}
--- a/edge/server.go
+++ b/edge/server.go
@@ -30,6 +30,7 @@
 	errTooLong   = errors.New("too long for an invocation")
 	errOperation = errors.New("unknown operation")
 	errTenant    = errors.New("unknown tenant")
+	errWait      = errors.New("no word of how long its caller waits")
 	errToken     = errors.New("no token, and a repeat must be known")
 )
 
--- a/frame/frame.go
+++ b/frame/frame.go
@@ -78,8 +78,8 @@
 	Operation, ID, Tenant []byte
 	Once                  []byte       // the same in all tries of one piece of work; empty: not told
 	At                    admit.Micros // when it reached the machine, Unix time
-	Wait                  admit.Micros // its caller waits so long from then
-	Retry, Keyed          bool
+	Wait                  admit.Micros // its caller waits so long from then, if Told
+	Told, Retry, Keyed    bool
 	Work                  admit.Micros // expected, on one core; 0 if not told
 	KB, Rank              float64
 	Body                  []byte
@@ -99,7 +99,7 @@
 	hasRank
 	hasKey
 	hasOnce
-	needed = hasClass | hasID | hasAt | hasWait | hasKB | hasRank
+	needed = hasClass | hasID | hasAt | hasKB | hasRank
 )
 
 var errCut = errors.New("cut short")
@@ -128,7 +128,7 @@
 		case "tenant":
 			bit, inv.Tenant = hasTenant, value
 		case "wait":
-			bit = hasWait
+			bit, inv.Told = hasWait, true
 			inv.Wait, err = millis(value)
 		case "retry":
 			bit = hasRetry
--- a/terms/terms.go
+++ b/terms/terms.go
@@ -15,6 +15,7 @@
 	Operations []string // names, by number
 	Tenants    []string
 	Gauges     []string
+	Untold     bool // frames need not tell how long callers wait: it is the client timeout then
 	words      words
 }
 
@@ -77,6 +78,7 @@
 		Cores         int       `json:"n_cores"`
 		Gauges        []string  `json:"own_stats"`
 		Preemption    string    `json:"preemption"`
+		Passes        *bool     `json:"passes_deadline"` // absent: they tell
 		RunFactor     float64   `json:"run_factor"`
 		Say           string    `json:"say"`
 	} `json:"family_info"`
@@ -121,7 +123,7 @@
 	if o.Limits.RetryAfter {
 		t.MaxRetryAfter = Micros(o.Limits.MaxRetryAfterMs)
 	}
-	*s = Sheet{Gauges: f.Gauges, words: words{below: f.Below, preemption: f.Preemption, say: f.Say, worthBy: o.WorthBy, freshMs: f.FreshMs}}
+	*s = Sheet{Gauges: f.Gauges, Untold: f.Passes != nil && !*f.Passes, words: words{below: f.Below, preemption: f.Preemption, say: f.Say, worthBy: o.WorthBy, freshMs: f.FreshMs}}
 	for _, p := range o.Projects {
 		t.QuotaPerSecond = append(t.QuotaPerSecond, p.QuotaPerS)
 		s.Tenants = append(s.Tenants, p.Name)
--- a/terms/terms_test.go
+++ b/terms/terms_test.go
@@ -1,6 +1,7 @@
 package terms
 
 import (
+	"encoding/json"
 	"strings"
 	"testing"
 
@@ -33,3 +34,13 @@
 		}
 	})
 }
+
+// TestWaitUntold: frames need not tell how long callers wait where the settings say so, and only there.
+func TestWaitUntold(t *testing.T) {
+	for add, want := range map[string]bool{"": false, `"passes_deadline":true,`: false, `"passes_deadline":false,`: true} {
+		var s Sheet
+		if err := json.Unmarshal([]byte(strings.Replace(standin.Settings, `"callers"`, add+`"callers"`, 1)), &s); err != nil || s.Untold != want {
+			t.Errorf("%s: %t %v", add, s.Untold, err)
+		}
+	}
+}
