--- a/cmd/milletbarrow/check.go
+++ b/cmd/milletbarrow/check.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 
 	"github.com/urfave/cli/v3"
+
+	"milletbarrow/terms"
 )
 
 func checkCommand() *cli.Command {
@@ -14,13 +17,21 @@
 		Action: func(ctx context.Context, c *cli.Command) error {
 			b, err := configuration(c)
 			if err == nil {
-				fmt.Printf("%s: can be used\n", b.Name)
+				fmt.Printf("%s: can be used%s\n", b.Name, unused(b))
 			}
 			return err
 		},
 	}
 }
 
+// unused names what the deployment permits and this program leaves.
+func unused(b *terms.Backend) string {
+	if len(b.Sheet.Unused) == 0 {
+		return ""
+	}
+	return "; left unused: settings." + strings.Join(b.Sheet.Unused, ", settings.")
+}
+
 func limitsCommand() *cli.Command {
 	return &cli.Command{
 		Name: "limits", Usage: "print the bounds that follow from a configuration", Flags: []cli.Flag{configFlag()},
--- a/cmd/milletbarrow/serve.go
+++ b/cmd/milletbarrow/serve.go
@@ -130,6 +130,9 @@
 	}
 	slog.Info("start", "name", b.Name, "listen", b.Listen, "processors", lim.Processors,
 		"connections", lim.Connections, "invocations", lim.Invocations)
+	if len(b.Sheet.Unused) > 0 {
+		slog.Warn("unused", "settings", strings.Join(b.Sheet.Unused, " "))
+	}
 
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/terms/terms.go
+++ b/terms/terms.go
@@ -15,7 +15,8 @@
 	Operations []string // names, by number
 	Tenants    []string
 	Gauges     []string
-	Untold     bool // frames need not tell how long callers wait: it is the client timeout then
+	Untold     bool     // frames need not tell how long callers wait: it is the client timeout then
+	Unused     []string // fields that permit what this program has no way to do, and leaves
 	words      words
 }
 
@@ -93,6 +94,7 @@
 	}
 	freeValues = map[string]admit.FreeValue{
 		"off":       admit.NoValue,
+		"floor":     admit.NoValue, // no decision here makes one
 		"allowance": admit.CallerAllowance, "weight": admit.TrafficWeight,
 	}
 )
