Two reports that are never answered leave room for the one that keeps the entry

With two on their way at the most, two in a row that hang fill both places for 2.8 s, and the entry, good for 3 s, lapses (Pace.Due: no room).

--- a/limit/limit.go
+++ b/limit/limit.go
@@ -61,7 +61,7 @@
 	ReportAdvice time.Duration // the longest that the roster may ask to stay away
 	Lapse        time.Duration // an entry is gone so long after its last report
 	Call         time.Duration // one report; as long as an entry lasts, so that a slow roster still counts it
-	Reports      int           // on their way at once
+	Reports      int           // on their way at once: two that are never answered leave room for the one that keeps the entry
 
 	// Edge nodes.
 	Bind   time.Duration // an address that is still taken, by one just killed, is tried for so long,
@@ -130,7 +130,7 @@
 		ReportAdvice: 30 * time.Second,
 		Lapse:        3 * time.Second,
 		Call:         2800 * time.Millisecond,
-		Reports:      2,
+		Reports:      3,
 		Bind:         5 * time.Second,
 		Rebind:       20 * time.Millisecond,
 		Unread:       10 * time.Second,
--- a/roster/pace/pace_test.go
+++ b/roster/pace/pace_test.go
@@ -8,7 +8,7 @@
 
 func terms() Terms {
 	return Terms{
-		Usual: 700_000, Lapse: 3_000_000, Least: 20_000, Closed: 1_400_000, First: 2_800_000, Most: 4_200_000, Advice: 30_000_000, OnWay: 2,
+		Usual: 700_000, Lapse: 3_000_000, Least: 20_000, Closed: 1_400_000, First: 2_800_000, Most: 4_200_000, Advice: 30_000_000, OnWay: 3,
 	}
 }
 
@@ -53,6 +53,25 @@
 	})
 }
 
+// TestTwoNeverAnswered: the entry stands though two reports in a row are never answered.
+func TestTwoNeverAnswered(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := New(terms(), rapid.Uint64().Draw(t, "seed"))
+		p.Open(0)
+		now, _ := p.Due()
+		p.Begun(now)
+		p.Counted(now+1000, now)
+		lapses := now + 1000 + terms().Lapse
+		for hung := range 3 {
+			at, ok := p.Due()
+			if now = at; !ok || now+1000 > lapses {
+				t.Fatalf("due %d us before the entry lapses, room %t, with %d on their way", lapses-now, ok, hung)
+			}
+			p.Begun(now)
+		}
+	})
+}
+
 // TestRefusing: while the register takes nothing, all together call half as often as else at the most, a second at a time
 // from the third on; and nobody stays away for longer than the longest pause.
 func TestRefusing(t *testing.T) {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -56,8 +57,8 @@
 		for range n {
 			tr.Say("%s: %s", c.how, standin.Take(t, "a report", reports))
 		}
-		if c.how == "too slow" { // neither has ended
-			tr.Say("  on their way: several, and no third within 100 ms %t", none(reports))
+		if c.how == "too slow" { // none has ended
+			tr.Say("  on their way: as many as may be, and no further within 100 ms %t", none(reports))
 		}
 		r.Off()
 		r.Off()
@@ -79,6 +80,33 @@
 	}
 }
 
+// TestTwoNeverAnswered: two reports in a row are accepted and never answered. The next comes while the entry still stands.
+func TestTwoNeverAnswered(t *testing.T) {
+	b, held := limit.For(1, 192, 1024), make(chan struct{})
+	var seen atomic.Int32
+	address, reports := standin.NewRoster(t, func(w http.ResponseWriter, r *http.Request) {
+		if n := seen.Add(1); n == 2 || n == 3 { // reports are begun one after the other
+			<-held
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	over := make(chan struct{})
+	r := New(address, "n3", b, false)
+	go func() { r.Keep(ctx); close(over) }()
+	standin.Take(t, "the report that counts", reports)
+	counted := time.Now()
+	standin.Take(t, "the first that is never answered", reports)
+	standin.Take(t, "the second", reports)
+	standin.Take(t, "the next", reports)
+	if late := time.Since(counted); late > b.Lapse {
+		t.Errorf("the next came after %v, the entry had lapsed", late)
+	}
+	close(held)
+	cancel()
+	standin.Take(t, "the end", over)
+}
+
 // TestBack: a roster that was away hears of us soon after it is back, not only when the next report is due.
 func TestBack(t *testing.T) {
 	tr := standin.NewTrace(t)
