A repeat draws no unit of a budget, is not shed, and is known where the wall clock is set back

Read: a repeat drew a unit that it gave back at its answer only (gate.draw), counted as shed (shedFor), and one whose arrival seemed to lie ahead of the clock was new work (Table.Find by inv.At) and ran a second time. gate TestUnitsBack ('2 drawn' without), TestRepeatWindow ('Verdict:0', a second run, without). Reached by tokened operations alone; no path of other deployments changes.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -274,7 +274,7 @@
 	if t.due <= now {
 		g.counts.UsedUp++
 	}
-	t.shed = g.shedFor(&inv)
+	t.shed = g.shedFor(&inv, t)
 	fault := g.decide(now, admit.Arrived{
 		ID: inv.ID, Operation: inv.Operation, Tenant: inv.Tenant, Rank: inv.Rank, Retry: inv.Retry,
 		Hint: inv.Work, Waited: max(0, now-inv.At),
--- a/gate/reduce.go
+++ b/gate/reduce.go
@@ -42,14 +42,14 @@
 }
 
 // shedFor is above 0 if a level sheds an invocation that comes now: what advice is to be at the least, as admit has it.
-func (g *Gate) shedFor(inv *Invocation) admit.Micros {
+func (g *Gate) shedFor(inv *Invocation, t *Ticket) admit.Micros {
 	r := g.reduced
 	if r == nil {
 		return 0
 	}
 	now := levels.Micros(proc.Now())
 	level := r.mover.Level()
-	if !r.drawer.Sheds(level, r.mover.Depth(now), inv.Operation, inv.Tenant, inv.Rank, levels.Micros(inv.Work)) {
+	if t.earlier != "" || !r.drawer.Sheds(level, r.mover.Depth(now), inv.Operation, inv.Tenant, inv.Rank, levels.Micros(inv.Work)) {
 		r.meter.Add(now, levels.Arrivals)
 		if inv.Retry {
 			r.meter.Add(now, levels.Marked)
--- a/gate/repeat.go
+++ b/gate/repeat.go
@@ -12,7 +12,7 @@
 		return false
 	}
 	t.key = kept.Key{Operation: inv.Operation, Tenant: inv.Tenant, Token: inv.Token}
-	t.earlier = g.kept.Find(t.key, inv.At)
+	t.earlier = g.kept.Find(t.key, min(inv.At, Now())) // later, if the wall clock was set back
 	return true
 }
 
--- a/gate/repeat_test.go
+++ b/gate/repeat_test.go
@@ -134,7 +134,19 @@
 	if w, _ := g.Pick(read); w.Verdict != Repeated || string(w.Result) != "r" {
 		t.Errorf("read late: %+v", w)
 	}
-	w, again := g.Pick(tokened("c", "x"))
+	ahead := tokened("b2", "x") // the wall clock was set back: it seems to come later than now
+	ahead.At = Now() + 60_000_000
+	w, again := g.Pick(ahead)
+	if again == nil {
+		t.Fatalf("after the window, ahead of the clock: %+v", w)
+	}
+	g.Report(again, RunSucceeded, []byte("q"))
+	ahead.ID = "b3"
+	if w, _ := g.Pick(ahead); w.Verdict != Repeated || string(w.Result) != "q" {
+		t.Errorf("its repeat: %+v", w)
+	}
+	standin.Until(t, "the window is over again", func() bool { return Now() > at+240_000 })
+	w, again = g.Pick(tokened("c", "x"))
 	if again == nil {
 		t.Fatalf("after the window: %+v", w)
 	}
--- a/gate/share.go
+++ b/gate/share.go
@@ -46,10 +46,10 @@
 	return nil
 }
 
-// draw takes a unit of the tenant's budget for work that comes now. What a level sheds takes none.
+// draw takes a unit of the tenant's budget for work that comes now. What a level sheds takes none, nor does a repeat.
 func (g *Gate) draw(inv *Invocation, t *Ticket) admit.Share {
 	s := g.shares
-	if s == nil || t.shed > 0 || inv.Tenant < 0 || inv.Tenant >= len(s.tenants) || s.tenants[inv.Tenant] < 0 {
+	if s == nil || t.shed > 0 || t.earlier != "" || inv.Tenant < 0 || inv.Tenant >= len(s.tenants) || s.tenants[inv.Tenant] < 0 {
 		return admit.NotTold
 	}
 	if s.holder.Draw(s.clock(), s.tenants[inv.Tenant]) {
--- a/gate/share_test.go
+++ b/gate/share_test.go
@@ -5,11 +5,11 @@
 	"testing"
 
 	"milletbarrow/serve/share"
+	"milletbarrow/standin"
 )
 
 // drawing is a gate whose first tenant has four units, and no more: its clock stands.
-func drawing(t *testing.T) *Gate {
-	g := open(t)
+func drawing(t *testing.T, g *Gate) *Gate {
 	h := share.New("n", "1", []string{"b"})
 	now := share.Micros(1)
 	a := h.Ask(now)
@@ -25,7 +25,7 @@
 
 // TestUnitsBack: work that is throttled, that the farm never ran or does not know, or whose caller left before its launch, gives its unit back; what ran keeps it.
 func TestUnitsBack(t *testing.T) {
-	g := drawing(t)
+	g := drawing(t, open(t))
 	for n := range 8 { // more than there are units
 		big := usual(fmt.Sprint("big", n))
 		big.KB = 1 << 40 // nothing can hold it
@@ -37,7 +37,7 @@
 		t.Fatalf("one unit went round eight times: %d drawn, %d denied", v.Drawn, v.Denied)
 	}
 
-	g = drawing(t)
+	g = drawing(t, open(t))
 	for n, end := range []End{RunSucceeded, NeverRan, Unrunnable, RunErrored, NeverRan} {
 		w, ticket := g.Pick(usual(fmt.Sprint("run", n)))
 		if w.Verdict != Run {
@@ -48,4 +48,13 @@
 	if v := g.Shares()[0]; v.Drawn != 3 || v.Denied != 0 {
 		t.Fatalf("two ran and the third unit came back: %d drawn, %d denied", v.Drawn, v.Denied)
 	}
+
+	g = drawing(t, openTokened(t, "5000", nil))
+	_, first := g.Pick(tokened("a", "x"))
+	waits := repeat(t, g, tokened("b", "x"))
+	if v := g.Shares()[0]; v.Drawn != 1 {
+		t.Errorf("a repeat that waits: %d drawn", v.Drawn)
+	}
+	g.Report(first, RunSucceeded, nil)
+	standin.Take(t, "its word", waits)
 }
