--- a/gate/gate.go
+++ b/gate/gate.go
@@ -193,6 +193,7 @@
 func (g *Gate) terms(sheet *terms.Sheet) admit.Terms {
 	t := sheet.Terms
 	t.JustStarted = g.cold
+	t.KeyKB = 0 // what is remembered lies in this process's memory, where its table is bounded; the settings' is the farm's
 	t.DrainGrace = max(0, t.DrainGrace-Micros(g.bounds.NoticeLate.Microseconds()))
 	return t
 }
--- a/gate/repeat_test.go
+++ b/gate/repeat_test.go
@@ -181,3 +181,19 @@
 		t.Errorf("a repeat after the grace, which another would run: %+v", w)
 	}
 }
+
+// TestRepeatsTakeNoneOfTheFarm: what is remembered takes nothing of the farm's memory, though the settings name a size that
+// would fill it.
+func TestRepeatsTakeNoneOfTheFarm(t *testing.T) {
+	g := openTokened(t, "5000", nil)
+	g.sheet.Terms.KeyKB = g.sheet.Terms.MemoryKB / 3
+	g = New(g.sheet, 1, g.bounds)
+	g.Open(false, 0)
+	for n := range 6 {
+		w, ticket := g.Pick(tokened(string(rune('a'+n)), string(rune('s'+n))))
+		if ticket == nil {
+			t.Fatalf("number %d: %+v", n, w)
+		}
+		g.Report(ticket, RunSucceeded, nil)
+	}
+}
