A burst of newcomers on a full table closes nothing more once room is on its way

Printed: 100 dials within 3 ms, then EOF on the one connection that had been used. Server.accept gave up one connection for each newcomer, also where as many as may leave were closed already and the newcomer was then turned away itself: those that stay were all closed, the used one too (giveUp counted as present what waits for the poller). What is closed and not yet freed counts as room now. edge TestRoomOnItsWay; without: 'waited in vain for a launch'.

--- a/edge/conn.go
+++ b/edge/conn.go
@@ -508,6 +508,7 @@
 	justOpened
 	justUsed
 	atWork
+	going // closed, and only waits for the poller
 )
 
 // worth tells what a connection is worth, and since when.
@@ -516,7 +517,7 @@
 	defer c.mu.Unlock()
 	switch {
 	case c.over:
-		return atWork, now // it goes by itself
+		return going, now
 	case c.closed: // and waits for its peer's end
 		return neverSound, c.born
 	case !c.sound && now.Sub(c.born) > c.server.bounds.Fresh:
--- a/edge/moments_test.go
+++ b/edge/moments_test.go
@@ -255,3 +255,30 @@
 	}
 	standin.Until(t, "they are gone", func() bool { n, _ := s.Counts(); return n == 1 })
 }
+
+// TestRoomOnItsWay: a table is full of what has been closed and waits for the poller, which is busy with newcomers. None of
+// those that stay is closed for them.
+func TestRoomOnItsWay(t *testing.T) {
+	s := open(t, func(b *limit.Bounds, _ *terms.Sheet) { b.Connections = 2 })
+	n := standin.Dial(t, s.address)
+	n.Send(standin.Raw(20, 1, "\x00"))
+	n.Expect()
+	standin.Dial(t, s.address)
+	standin.Until(t, "both are open", func() bool { n, _ := s.Counts(); return n == 2 })
+	release := s.holdPoller(t)
+	for range 5 {
+		if !s.giveUp(time.Now()) {
+			t.Error("no room is made")
+		}
+	}
+	release()
+	n.Send(standin.Invocation(2, 2))
+	s.run(t, "complete", "r")
+	f := n.Expect()
+	for f.Type == 30 {
+		f = n.Expect()
+	}
+	if f.Code != 1 {
+		t.Error(f)
+	}
+}
--- a/edge/server.go
+++ b/edge/server.go
@@ -173,9 +173,13 @@
 // never one with work, nor one with input that has not been taken in. It guards against clients that connect by the hundred and say nothing, and callers that
 // keep for good what they used once: neither may shut others out.
 func (s *Server) giveUp(now time.Time) bool {
-	n := 0
-	for _, c := range s.byWorth(now) {
-		if c.worth == atWork || n > 0 && c.worth > resting || n > s.bounds.Connections/32 {
+	n, list := 0, s.byWorth(now)
+	stay := slices.IndexFunc(list, func(c candidate) bool { return c.worth == going })
+	if stay >= 0 && stay < s.bounds.Connections { // room is on its way: a burst must not cost one after the other for it
+		return true
+	}
+	for _, c := range list {
+		if c.worth >= atWork || n > 0 && c.worth > resting || n > s.bounds.Connections/32 {
 			break
 		}
 		if c.cutUnlessSent() {
