--- a/review/_kit/notice.go
+++ b/review/_kit/notice.go
@@ -44,6 +44,7 @@
 func notice(args []string) int {
 	f, out, trouble := caseFlags("notice")
 	seed := f.Uint64("seed", 7, "of the load")
+	pause := f.Duration("pause", noticePause, "how long the backend stands still")
 	_ = f.Parse(args)
 	rec := newRecord(*out)
 	defer rec.close()
@@ -83,7 +84,7 @@
 		noticeAt = time.Now()
 		b.signal(syscall.SIGTERM)
 		rec.log("notice to leave (SIGTERM)")
-		time.Sleep(noticePause - 20*time.Millisecond)
+		time.Sleep(*pause - 20*time.Millisecond)
 		goOn()
 		b.signal(syscall.SIGCONT)
 		resumed = time.Now()
