--- a/review/_kit/main.go
+++ b/review/_kit/main.go
@@ -7,6 +7,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 func main() {
@@ -20,6 +22,11 @@
 		fmt.Fprintln(os.Stderr, "no such case:", os.Args[1])
 		os.Exit(2)
 	}
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		die(fmt.Errorf("stopped by %v", <-stopped))
+	}()
 	code := run(os.Args[2:])
 	cleanUp()
 	os.Exit(code)
