--- /dev/null
+++ b/review/_kit2/adopt.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// playAdopt drains one backend under load. In the middle of the drain the agent dies, with the processes that it has
+// beside the backends, and is started again half a second later. The rule: the backend answers all it has read before
+// it is stopped, which is stop_ms after the notice.
+func playAdopt(s *setup) (broken bool, err error) {
+	f := &fleetSite{setup: s}
+	defer f.end()
+	const stopMs = 3200 // as in the deploy page's example; the grace is 2,000 ms
+	operations := []operation{{Name: "bill-lookup", Aim: 2200, Timeout: 7000, Repeat: "idempotent"}}
+	if err := f.begin(3, operations, stopMs); err != nil {
+		return false, err
+	}
+	if err := f.tool("start", "--all", "--within", "20s"); err != nil {
+		return false, err
+	}
+	var load sync.WaitGroup
+	stopLoad := make(chan struct{})
+	for _, b := range f.backends {
+		load.Go(func() { b.lookups(160*time.Millisecond, 900, 7*time.Second, stopLoad) })
+	}
+	time.Sleep(4 * time.Second)
+	b := f.backends[0]
+	done := make(chan error, 1)
+	s.Record.say("fleet drain %s", b.name)
+	go func() { done <- f.tool("drain", b.name, "--within", "20s") }()
+	instance := f.state(b.name).Instance.PID
+	notice, err := f.awaitNotice(b.name)
+	if err != nil {
+		return false, err
+	}
+	s.Record.say("%s, process %d, has its notice to leave", b.name, instance)
+	if s.Trouble {
+		time.Sleep(time.Until(notice.Add(time.Second)))
+		f.agent.signal(syscall.SIGKILL)
+		for _, other := range f.backends {
+			f.kill(f.state(other.name).Keeper.PID)
+		}
+		f.agent.end()
+		s.Record.say("the agent and the processes beside the backends are killed")
+		time.Sleep(time.Until(notice.Add(1500 * time.Millisecond)))
+		s.Record.say("the agent is started again")
+		if err := f.startAgent(); err != nil {
+			return false, err
+		}
+	}
+	ended := time.Time{}
+	for time.Since(notice) < stopMs*time.Millisecond+time.Second && ended.IsZero() {
+		time.Sleep(5 * time.Millisecond)
+		if !alive(instance) {
+			ended = time.Now()
+		}
+	}
+	close(stopLoad)
+	load.Wait()
+	if err := <-done; err != nil {
+		s.Record.say("the tool: %v", err)
+	}
+	if ended.IsZero() {
+		return false, fmt.Errorf("process %d of %s has not ended", instance, b.name)
+	}
+	after := ended.Sub(notice)
+	s.Record.say("process %d of %s ended %.2f s after the notice; its stop_ms is %d", instance, b.name, after.Seconds(), stopMs)
+	time.Sleep(300 * time.Millisecond)
+	_ = f.tool("history", "--name", b.name)
+	lost, all := b.lostAtEnd(s, ended)
+	s.Record.say("%s: %s", b.name, counts(all))
+	s.Record.say("%d requests that %s had read got no final answer before it was stopped", lost, b.name)
+	fmt.Printf("%s ended %.2f s after its notice; %d requests lost; %s\n", b.name, after.Seconds(), lost, counts(all))
+	return lost > 0, nil
+}
