--- a/review/_kit2/main.go
+++ b/review/_kit2/main.go
@@ -28,7 +28,8 @@
 
 // cases are the cases by name. Each returns whether the rule was broken, or why it could not run.
 var cases = map[string]func(*setup) (broken bool, err error){
-	"adopt": playAdopt,
+	"adopt":  playAdopt,
+	"window": playWindow,
 }
 
 const (
