Review: an adopted backend is held to the window of the next release

A supervisor that adopts a running backend takes the window from the configuration file, where that of the next release may stand already. The stand-ins listen on an address of their own now. Nothing is mended.

--- a/review/_kit2/adopt.go
+++ b/review/_kit2/adopt.go
@@ -76,3 +76,20 @@
 	fmt.Printf("%s ended %.2f s after its notice; %d requests lost; %s\n", b.name, after.Seconds(), lost, counts(all))
 	return lost > 0, nil
 }
+
+// lostAtEnds is like lostAtEnd for a backend that ended more than once: a request is lost whose connection ended without
+// an answer, or that was not answered in time.
+func (b *fleetBackend) lostAtEnds(s *setup) (lost int, all []*request) {
+	m := b.machine
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all = sorted(m)
+	for _, r := range all {
+		s.Record.request(b.name, r)
+		crossed := r.Ended != "" && r.Written.After(r.EndedAt.Add(-crossing))
+		if !r.Written.IsZero() && !answeredInTime(r) && !crossed && (r.Ended != "" || time.Now().After(r.due().Add(slack))) {
+			lost++
+		}
+	}
+	return lost, all
+}
--- a/review/_kit2/fleet.go
+++ b/review/_kit2/fleet.go
@@ -18,6 +18,7 @@
 	settings map[string]any
 	agent    *child
 	file     string
+	graceMs  int // in the settings; 0: that of settingsOf
 }
 
 type fleetBackend struct {
@@ -39,6 +40,7 @@
 		if b.machine, err = startMachine(6); err != nil {
 			return err
 		}
+		b.machine.Fresh = true
 		if b.listen, err = freeAddress(); err != nil {
 			return err
 		}
@@ -78,6 +80,9 @@
 
 // configure writes the configuration of each backend.
 func (f *fleetSite) configure(stopMs int) error {
+	if f.graceMs > 0 {
+		f.settings["invariants"].(map[string]any)["drain_grace_ms"] = f.graceMs
+	}
 	for _, b := range f.backends {
 		c := configuration{
 			Name: b.name, Listen: b.listen, Agent: b.machine.address(), Roster: f.registry, StopMs: stopMs, Settings: f.settings,
@@ -158,6 +163,22 @@
 	return time.Time{}, fmt.Errorf("%s got no notice", name)
 }
 
+// awaitReady waits until the agent sees each backend ready.
+func (f *fleetSite) awaitReady(within time.Duration) error {
+	var out string
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		text, code, err := runTool(f.Root, 5*time.Second, "fleet", "status", "--fleet", f.file, "--json")
+		if out = text; err != nil || code != 0 {
+			continue
+		}
+		text = strings.Join(strings.Fields(text), "")
+		if strings.Count(text, `"phase":"ready"`) == len(f.backends) {
+			return nil
+		}
+	}
+	return fmt.Errorf("not all backends are ready: %s", out)
+}
+
 // alive reports whether a process runs.
 func alive(pid int) bool {
 	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
--- a/review/_kit2/main.go
+++ b/review/_kit2/main.go
@@ -30,6 +30,7 @@
 var cases = map[string]func(*setup) (broken bool, err error){
 	"adopt":  playAdopt,
 	"window": playWindow,
+	"grace":  playGrace,
 }
 
 const (
--- a/review/_kit2/platform.go
+++ b/review/_kit2/platform.go
@@ -35,10 +35,10 @@
 // taken are the addresses that freeAddress has returned.
 var taken = map[string]bool{}
 
-// freeAddress returns an address that nobody listens on.
+// freeAddress returns an address that nobody listens on. Connections go out from 127.0.0.1, so that none of them takes it.
 func freeAddress() (string, error) {
 	for range 100 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", "127.0.0.2:0")
 		if err != nil {
 			return "", err
 		}
