--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 root=$(cd "$here/../.." && pwd) || exit 2
 [ -x "$root/bin/milletbarrow" ] && [ -x "$root/review/bin/kit2" ] || { echo "build first: deploy/balancer.toml, review/build-2.sh"; exit 2; }
-exec "$root/review/bin/kit2" window --root "$root" --record "$here/record.txt"
+exec timeout --preserve-status -k 10 100 "$root/review/bin/kit2" window --root "$root" --record "$here/record.txt"
--- a/review/_kit2/adopt.go
+++ b/review/_kit2/adopt.go
@@ -12,8 +12,7 @@
 // it is stopped, which is stop_ms after the notice.
 func playAdopt(s *setup) (broken bool, err error) {
 	f := &fleetSite{setup: s}
-	defer f.end()
-	const stopMs = 3200 // as in the deploy page's example; the grace is 2,000 ms
+	const stopMs = 4000 // the grace is 2,000 ms
 	operations := []operation{{Name: "bill-lookup", Aim: 2200, Timeout: 7000, Repeat: "idempotent"}}
 	if err := f.begin(3, operations, stopMs); err != nil {
 		return false, err
@@ -24,7 +23,7 @@
 	var load sync.WaitGroup
 	stopLoad := make(chan struct{})
 	for _, b := range f.backends {
-		load.Go(func() { b.lookups(160*time.Millisecond, 900, 7*time.Second, stopLoad) })
+		load.Go(func() { b.lookups(270*time.Millisecond, 1500, 7*time.Second, stopLoad) })
 	}
 	time.Sleep(4 * time.Second)
 	b := f.backends[0]
--- a/review/_kit2/fleet.go
+++ b/review/_kit2/fleet.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -30,6 +31,7 @@
 
 // begin writes all files and starts the agent.
 func (f *fleetSite) begin(n int, operations []operation, stopMs int) (err error) {
+	f.cleanup = sync.OnceFunc(f.end)
 	if f.registry, err = startRegistry(); err != nil {
 		return err
 	}
--- a/review/_kit2/grace.go
+++ b/review/_kit2/grace.go
@@ -19,7 +19,6 @@
 // is stop_ms after its notice.
 func playGrace(s *setup) (broken bool, err error) {
 	f := &fleetSite{setup: s}
-	defer f.end()
 	const stopMs = 4000
 	operations := []operation{{Name: "bill-lookup", Aim: 2200, Timeout: 7000, Repeat: "idempotent"}}
 	f.graceMs = formerGraceMs
--- a/review/_kit2/machine.go
+++ b/review/_kit2/machine.go
@@ -68,8 +68,8 @@
 	closed    chan struct{}
 	results   int
 	Links     int         // links opened so far
+	hung      bool        // runs make no progress
 	Fresh     bool        // "subscribe 0" comes from new processes alone: nothing here breaks links
-	paused    bool        // nothing is read or written while the process pauses
 	duplicate func() bool // whether the next notice is sent twice
 	remark    func() bool // whether a remark precedes the next notice
 	pieces    func() bool // whether the next notice is sent in pieces
@@ -182,7 +182,7 @@
 		span := now.Sub(m.last)
 		m.last = now
 		n := len(m.active)
-		if n > 0 {
+		if n > 0 && !m.hung {
 			share := min(1, float64(m.Cores)/float64(n))
 			m.busy += span.Seconds() * min(float64(m.Cores), float64(n))
 			for id, a := range m.active {
--- a/review/_kit2/main.go
+++ b/review/_kit2/main.go
@@ -12,8 +12,10 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -24,6 +26,7 @@
 	Trouble bool
 	Random  *rand.Rand
 	Record  *record
+	cleanup func() // ends all processes that were started; nil: none were
 }
 
 // cases are the cases by name. Each returns whether the rule was broken, or why it could not run.
@@ -31,6 +34,12 @@
 	"adopt":  playAdopt,
 	"window": playWindow,
 	"grace":  playGrace,
+
+	// Plays that found nothing beyond the cases.
+	"stress": playStress,
+	"chaos":  playChaos,
+	"wave":   playWave,
+	"mass":   playMass,
 }
 
 const (
@@ -63,7 +72,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitCannot
 	}
-	dir, err := os.MkdirTemp("", "mb")
+	dir, err := os.MkdirTemp(shortTempDir(), "mb")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitCannot
@@ -81,7 +90,11 @@
 		return exitCannot
 	}
 	rec.say("seed %d, trouble %t", seed, s.Trouble)
+	go s.endOnSignal()
 	broken, err := play(s)
+	if s.cleanup != nil {
+		s.cleanup()
+	}
 	switch {
 	case err != nil:
 		rec.say("the case could not run: %v", err)
@@ -97,6 +110,28 @@
 	return exitHeld
 }
 
+// endOnSignal ends what was started when the case itself is told to end, as by a time limit.
+func (s *setup) endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	<-signals
+	s.Record.say("the case was told to end")
+	if s.cleanup != nil {
+		s.cleanup()
+	}
+	_ = os.RemoveAll(s.Dir)
+	os.Exit(exitCannot)
+}
+
+// shortTempDir returns the folder for temporary files, or /tmp if its name is too long for the sockets in it.
+func shortTempDir() string {
+	const longest = 50
+	if dir := os.TempDir(); len(dir) <= longest {
+		return dir
+	}
+	return "/tmp"
+}
+
 var lastID atomic.Uint64
 
 // newID returns an id that no other request of this process has.
--- a/review/_kit2/platform.go
+++ b/review/_kit2/platform.go
@@ -91,13 +91,18 @@
 type configuration struct {
 	Name, Listen, Agent, Roster string
 	StopMs                      int
+	Sockets                     int // 0: 1,024
 	Settings                    map[string]any
 }
 
 func (c configuration) write(path string) error {
+	sockets := c.Sockets
+	if sockets == 0 {
+		sockets = 1024
+	}
 	raw, err := json.MarshalIndent(map[string]any{
 		"name": c.Name, "listen": c.Listen, "agent": c.Agent, "roster": c.Roster, "seed": "8c1f30d27a5be964", "stop_ms": c.StopMs,
-		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": sockets},
 		"settings": c.Settings,
 	}, "", " ")
 	if err != nil {
--- a/review/_kit2/window.go
+++ b/review/_kit2/window.go
@@ -17,7 +17,6 @@
 // before it is stopped, which is stop_ms after the notice.
 func playWindow(s *setup) (broken bool, err error) {
 	f := &fleetSite{setup: s}
-	defer f.end()
 	stop := newStopMs
 	if s.Trouble {
 		stop = formerStopMs
