Supervisor: judge an instance by the shutdown window that it runs with

Cause: a supervisor that adopts a running instance got the window of the configuration file of that time. The backend's grace of 2.5 s was held against the file's 2.0 s, so its notice counted as not acknowledged, and it was killed as deaf 1.85 s after it.

Fix: the window belongs to the incarnation. The backend reports it on its admin socket, the state file keeps it from the launch on, and an adopting supervisor takes it from there. This also covers a file that is replaced between the agent's read and the backend's.

--- a/cmd/milletbarrow/serve_shutdown.go
+++ b/cmd/milletbarrow/serve_shutdown.go
@@ -60,8 +60,10 @@
 // duplicate of the same notice.
 const noticeResolution = 5 * time.Millisecond
 
-// describe adds a shutdown in progress to the state that the admin socket serves.
+// describe adds the shutdown window, and a shutdown in progress, to the state that the admin socket serves.
 func (s *shutdown) describe(state *admin.State) {
+	state.Grace = monotime.FromDuration(s.grace)
+	state.ExitTimeout = monotime.FromDuration(s.stop)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.draining {
--- a/internal/agent/helpers_test.go
+++ b/internal/agent/helpers_test.go
@@ -89,19 +89,17 @@
 	os.Exit(0)
 }
 
-// Times of an instance process, measured from the shutdown notice.
-const (
-	instanceGrace    = 300 * time.Millisecond
-	instanceExitTime = 400 * time.Millisecond
-)
+// instanceExitTime is how long after its shutdown notice an instance process exits.
+const instanceExitTime = 400 * time.Millisecond
 
 // instanceProcess is the state of an instance process, which serves only its admin socket. The prefix of its name
 // selects the fault that it simulates: ignoring (ignores notices), exiting (exits at the notice with an error), unready
 // (never becomes ready), crashing (exits at its start with an error) or flooding (writes to its log continuously).
 type instanceProcess struct {
 	name       string
-	notifiedAt atomic.Int64  // time of the first shutdown notice, in microseconds of process.Now; 0 if none
-	notified   chan struct{} // closed at the first shutdown notice
+	grace      monotime.Micros // by its configuration file at the time of its start
+	notifiedAt atomic.Int64    // time of the first shutdown notice, in microseconds of process.Now; 0 if none
+	notified   chan struct{}   // closed at the first shutdown notice
 }
 
 // hasFault reports whether the instance simulates a fault.
@@ -123,7 +121,7 @@
 	if at := monotime.Micros(p.notifiedAt.Load()); at != 0 {
 		s.Ready = false
 		s.Draining = true
-		s.GraceEnds = at + monotime.FromDuration(instanceGrace)
+		s.GraceEnds = at + p.grace
 	}
 	return s
 }
@@ -138,7 +136,13 @@
 
 // instanceMain is the main function of an instance process.
 func instanceMain(config, socket string) {
+	window, err := ReadShutdownWindow(config)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
 	p := &instanceProcess{
+		grace:    window.Grace,
 		name:     strings.TrimSuffix(filepath.Base(config), ".json"),
 		notified: make(chan struct{}),
 	}
@@ -226,15 +230,22 @@
 	dir := t.TempDir()
 	h := &testHost{t: t, timing: timing, dir: dir, file: filepath.Join(dir, "f"), names: names}
 	t.Cleanup(h.cleanUp)
-	for i, name := range names {
-		if err := os.WriteFile(h.configFile(name), h.config(name, 20_000+i), 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
+	h.writeConfigs()
 	h.spec = h.readSpec(names...)
 	return h
 }
 
+// writeConfigs writes the configuration files of the instances, with the shutdown window of h.timing.
+func (h *testHost) writeConfigs() {
+	h.t.Helper()
+	const firstPort = 20_000
+	for i, name := range h.names {
+		if err := os.WriteFile(h.configFile(name), h.config(name, firstPort+i), 0o600); err != nil {
+			h.t.Fatal(err)
+		}
+	}
+}
+
 // configFile returns the path of an instance's configuration file.
 func (h *testHost) configFile(name string) string { return filepath.Join(h.dir, name+".json") }
 
--- a/internal/agent/recovery_test.go
+++ b/internal/agent/recovery_test.go
@@ -187,6 +187,31 @@
 	})
 }
 
+// TestAdoptedInstanceKeepsWindowOfLaunch guards against the kill of a draining instance by the shorter window of a
+// configuration file that was replaced after its launch: a supervisor that adopted the instance judged by the new file.
+func TestAdoptedInstanceKeepsWindowOfLaunch(t *testing.T) {
+	h := newTimedHost(t, longTiming, "a")
+	h.startAgent(nil)
+	h.mustSubmit("start", fleet.KindStart)
+	h.waitForCommand("start")
+
+	h.timing.grace, h.timing.exitTimeout = shortTiming.grace, shortTiming.exitTimeout
+	h.writeConfigs()
+	before := h.supervisorState("a")
+	before.Supervisor.Signal(syscall.SIGKILL)
+	h.waitUntil("another supervisor runs", func() bool {
+		s := h.supervisorState("a")
+		return s.Supervisor != before.Supervisor && s.Supervisor.Alive()
+	})
+	h.waitUntil("the instance is ready", func() bool {
+		return h.agent.Status().Instances[0].Phase == fleet.PhaseReady
+	})
+
+	h.mustSubmit("drain", fleet.KindDrain)
+	h.waitUntil("the drain has ended", func() bool { return h.commandDone("drain") })
+	wantOutcomes(t, h.agent.Command("drain"), map[string]fleet.Outcome{"a": fleet.OutcomeSucceeded})
+}
+
 // TestReloadRejectsOmittedRunningInstance checks that a reload with a fleet file that omits a running instance is
 // rejected, and that a reload can add instances.
 func TestReloadRejectsOmittedRunningInstance(t *testing.T) {
--- a/internal/backend/admin/messages.go
+++ b/internal/backend/admin/messages.go
@@ -30,6 +30,8 @@
 	Draining       bool            `json:"draining"`             // it has received a shutdown notice
 	GraceEnds      monotime.Micros `json:"grace_ends,omitempty"` // later arrivals do not run; 0: not draining
 	StopBy         monotime.Micros `json:"stop_by,omitempty"`    // deadline for the exit; 0: not draining
+	Grace          monotime.Micros `json:"grace_us,omitempty"`   // from a notice to GraceEnds; 0: not reported
+	ExitTimeout    monotime.Micros `json:"stop_us,omitempty"`    // from a notice to StopBy; 0: not reported
 	Connections    int             `json:"connections"`          // open connections from edge nodes
 	ServerInFlight int             `json:"carried"`              // invocations in flight at the server
 	InFlight       int             `json:"in_hand"`              // invocations in flight at the dispatcher
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -83,10 +83,11 @@
 	fileOrder int // position among the host's instances in the file
 }
 
-// ShutdownWindow holds the times that an instance has from the shutdown notice on, by its configuration.
+// ShutdownWindow holds the times that an instance has from the shutdown notice on, by the configuration with which it
+// was started. Supervisors store it with the JSON names.
 type ShutdownWindow struct {
-	Grace       monotime.Micros // a request that arrives later is rejected
-	ExitTimeout monotime.Micros // the instance has to have exited by then
+	Grace       monotime.Micros `json:"grace_us"` // a request that arrives later is rejected
+	ExitTimeout monotime.Micros `json:"stop_us"`  // the instance has to have exited by then
 }
 
 // setPhase enters a phase, or updates the cause of the current one.
--- a/internal/supervisor/claim.go
+++ b/internal/supervisor/claim.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 
+	"milletbarrow/internal/fleet"
 	"milletbarrow/internal/process"
 )
 
@@ -30,13 +31,16 @@
 		s.record = previous
 		s.monitor.NoticeID = previous.NoticeID
 		s.monitor.NotifiedAt = previous.NotifiedAt
+		if previous.Window != (fleet.ShutdownWindow{}) { // the configuration file may have changed since the launch
+			s.monitor.Window = previous.Window
+		}
 	case o.Adopt:
 		return s.conflict("the state file has no such incarnation to adopt")
 	case running:
 		return s.conflict(fmt.Sprintf("incarnation %s still runs as process %v",
 			previous.Incarnation, previous.Instance))
 	default:
-		s.record = State{Name: o.Name, Incarnation: o.Incarnation, StartedAt: process.Now()}
+		s.record = State{Name: o.Name, Incarnation: o.Incarnation, StartedAt: process.Now(), Window: o.Window}
 	}
 	if s.record.Ended {
 		return nil
--- a/internal/supervisor/claim_test.go
+++ b/internal/supervisor/claim_test.go
@@ -5,6 +5,8 @@
 	"path/filepath"
 	"testing"
 
+	"milletbarrow/internal/backend/admin"
+	"milletbarrow/internal/fleet"
 	"milletbarrow/internal/process"
 )
 
@@ -112,6 +114,48 @@
 	}
 }
 
+// TestAdoptionKeepsWindowOfLaunch guards against judging an adopted instance by a configuration file that was replaced
+// after its launch. Only for an incarnation whose window was not recorded does that of the options count.
+func TestAdoptionKeepsWindowOfLaunch(t *testing.T) {
+	launched := fleet.ShutdownWindow{Grace: testWindow.Grace + second, ExitTimeout: testWindow.ExitTimeout + second}
+	for _, test := range []struct {
+		name     string
+		recorded fleet.ShutdownWindow
+		want     fleet.ShutdownWindow
+	}{
+		{"recorded", launched, launched},
+		{"not recorded", fleet.ShutdownWindow{}, testWindow},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			previous := &State{Name: "n1", Incarnation: "r2", Instance: self(t), Window: test.recorded}
+			s := newTestSupervisor(t, previous, true)
+			if err := s.claim(); err != nil {
+				t.Fatal(err)
+			}
+			if s.monitor.Window != test.want {
+				t.Errorf("monitor's window %+v, want %+v", s.monitor.Window, test.want)
+			}
+			if written, err := ReadState(s.paths.State); err != nil || written.Window != test.recorded {
+				t.Errorf("recorded window %+v, %v, want %+v", written.Window, err, test.recorded)
+			}
+		})
+	}
+}
+
+// TestReportedWindowIsRecorded checks that the window that the instance reports is written to the state file, for the
+// next supervisor.
+func TestReportedWindowIsRecorded(t *testing.T) {
+	s := newClaimedSupervisor(t)
+	if s.record.Window != testWindow {
+		t.Fatalf("window at the launch %+v, want %+v", s.record.Window, testWindow)
+	}
+	reported := fleet.ShutdownWindow{Grace: testWindow.Grace + second, ExitTimeout: testWindow.ExitTimeout + second}
+	s.observe(Observation{State: &admin.State{Grace: reported.Grace, ExitTimeout: reported.ExitTimeout}})
+	if written, err := ReadState(s.paths.State); err != nil || written.Window != reported {
+		t.Errorf("recorded window %+v, %v, want %+v", written.Window, err, reported)
+	}
+}
+
 // TestLockIsExclusive checks that only one supervisor at a time holds the lock, and that another one can acquire it
 // after its release.
 func TestLockIsExclusive(t *testing.T) {
--- a/internal/supervisor/health_check.go
+++ b/internal/supervisor/health_check.go
@@ -41,7 +41,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.monitor.Observe(process.Now(), o)
-	if o.State != nil {
-		s.lastState = o.State
+	if o.State == nil {
+		return
+	}
+	s.lastState = o.State
+	if o.State.ExitTimeout != 0 && s.record.Window != s.monitor.Window {
+		s.record.Window = s.monitor.Window
+		_ = s.writeRecord() // the error is logged; the window stays known until this process ends
 	}
 }
--- a/internal/supervisor/monitor.go
+++ b/internal/supervisor/monitor.go
@@ -56,15 +56,17 @@
 //   - Only the first notice counts: TestMonitorTraceForEachInstanceFault, TestAdoptionKeepsRecordedNotice. The signal
 //     is sent once: TestShutdownIsSignalledOnce.
 //   - Notices on the admin socket are at least socketNoticeInterval apart: TestSocketNoticesAreSpaced.
+//   - The window that the instance reports counts, not the one that its configuration file has by now:
+//     TestReportedWindowCounts, TestAdoptionKeepsWindowOfLaunch.
 //   - The first cause of a kill is kept, and the kill is repeated until the exit: TestFirstKillCauseStays.
 //   - An instance that has been ready does not return to the starting phase: TestOnceReadyIsNeverStarting.
 //   - An instance that drains without a notice is killed at its exit timeout and not earlier:
 //     TestDrainWithoutNoticeEndsAtExitTimeout, TestDrainingAfterNoticeCountsFromNotice.
 type Monitor struct {
-	Window     fleet.ShutdownWindow
-	NoticeID   string          // ID of the action that delivered the shutdown notice; empty: no notice
-	NotifiedAt monotime.Micros // valid with NoticeID
-	KillCause  string          // why the instance was killed; empty: it was not
+	Window     fleet.ShutdownWindow // the one that the instance reports replaces it
+	NoticeID   string               // ID of the action that delivered the shutdown notice; empty: no notice
+	NotifiedAt monotime.Micros      // valid with NoticeID
+	KillCause  string               // why the instance was killed; empty: it was not
 
 	signalSent       bool            // SignalShutdown was returned
 	socketNotifiedAt monotime.Micros // the latest notice on the admin socket; 0: none
@@ -98,6 +100,9 @@
 	}
 	m.lastState = o.State
 	m.lastStateAt = now
+	if o.State.ExitTimeout != 0 {
+		m.Window = fleet.ShutdownWindow{Grace: o.State.Grace, ExitTimeout: o.State.ExitTimeout}
+	}
 	m.wasReady = m.wasReady || o.State.Ready
 	if o.State.Draining && m.NoticeID == "" && m.drainingSince == 0 {
 		m.drainingSince = min(now, o.State.GraceEnds-m.Window.Grace)
--- a/internal/supervisor/monitor_invariants_test.go
+++ b/internal/supervisor/monitor_invariants_test.go
@@ -157,3 +157,24 @@
 		t.Errorf("phase %s, want %s", phase, fleet.PhaseStopping)
 	}
 }
+
+// TestReportedWindowCounts guards against the kill of an instance that obeys its notice and was started with a longer
+// window than the supervisor was given.
+func TestReportedWindowCounts(t *testing.T) {
+	reported := fleet.ShutdownWindow{Grace: testWindow.Grace + second, ExitTimeout: testWindow.ExitTimeout + second}
+	m := &Monitor{Window: testWindow}
+	m.Observe(second, Observation{State: &admin.State{
+		Ready: true, Grace: reported.Grace, ExitTimeout: reported.ExitTimeout,
+	}})
+	m.RecordNotice(second, "s1")
+	m.NextActions(second)
+	for now := second + 50*millisecond; now < second+reported.ExitTimeout; now += 50 * millisecond {
+		m.Observe(now, draining(second+reported.Grace))
+		if actions := m.NextActions(now); len(actions) > 0 {
+			t.Fatalf("%d us after the notice: %v, want no action", now-second, actions)
+		}
+	}
+	if actions := m.NextActions(second + reported.ExitTimeout); !slices.Equal(actions, []Action{KillGroup}) {
+		t.Errorf("at its exit timeout: %v, want a kill", actions)
+	}
+}
--- a/internal/supervisor/shutdown.go
+++ b/internal/supervisor/shutdown.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"syscall"
 
+	"milletbarrow/internal/fleet"
 	"milletbarrow/internal/process"
 	"milletbarrow/monotime"
 )
@@ -13,14 +14,19 @@
 // actionTarget has the parameters of an action, copied so that it can be performed without holding the lock.
 type actionTarget struct {
 	instance    process.Identity
-	killCause   string          // empty: no kill
-	sinceNotice monotime.Micros // time since the shutdown notice
+	killCause   string               // empty: no kill
+	sinceNotice monotime.Micros      // time since the shutdown notice
+	window      fleet.ShutdownWindow // by which the monitor decides
 }
 
 // actionTarget returns the target of actions that are performed now; the caller sets sinceNotice. The caller holds
 // s.mu.
 func (s *supervisor) actionTarget() actionTarget {
-	return actionTarget{instance: s.record.Instance, killCause: s.monitor.KillCause}
+	return actionTarget{
+		instance:  s.record.Instance,
+		killCause: s.monitor.KillCause,
+		window:    s.monitor.Window,
+	}
 }
 
 // perform performs one of the monitor's actions.
@@ -46,7 +52,8 @@
 func (s *supervisor) killGroup(target actionTarget) {
 	err := target.instance.KillGroup()
 	slog.Warn("killed", "name", s.options.Name, "run", s.options.Incarnation, "cause", target.killCause,
-		"after_ms", target.sinceNotice/monotime.Millisecond)
+		"after_ms", target.sinceNotice/monotime.Millisecond, "grace_ms", target.window.Grace/monotime.Millisecond,
+		"stop_ms", target.window.ExitTimeout/monotime.Millisecond)
 	s.logSignalError(err)
 }
 
--- a/internal/supervisor/state.go
+++ b/internal/supervisor/state.go
@@ -18,14 +18,17 @@
 	Version     int              `json:"version"` // stateVersion of the build that wrote it
 	Name        string           `json:"name"`    // of the instance
 	Incarnation string           `json:"run"`
-	Boot        string           `json:"boot"`              // boot of the host in which identities and times are valid
-	Supervisor  process.Identity `json:"keeper"`            // zero: the host was rebooted
-	Instance    process.Identity `json:"instance"`          // zero: not started yet, or the host was rebooted
-	StartedAt   monotime.Micros  `json:"began"`             // when the incarnation was first claimed
-	NoticeID    string           `json:"told,omitempty"`    // ID of the shutdown notice's action; empty: no notice
-	NotifiedAt  monotime.Micros  `json:"told_at,omitempty"` // valid with NoticeID
-	Ended       bool             `json:"ended,omitempty"`
-	End         fleet.Exit       `json:"end"` // valid with Ended
+	Boot        string           `json:"boot"`     // boot of the host in which identities and times are valid
+	Supervisor  process.Identity `json:"keeper"`   // zero: the host was rebooted
+	Instance    process.Identity `json:"instance"` // zero: not started yet, or the host was rebooted
+	StartedAt   monotime.Micros  `json:"began"`    // when the incarnation was first claimed
+	// Window is that of the configuration with which the instance runs; zero: not known, as in files of releases that
+	// did not record it.
+	Window     fleet.ShutdownWindow `json:"window,omitzero"`
+	NoticeID   string               `json:"told,omitempty"`    // ID of the shutdown notice's action; empty: no notice
+	NotifiedAt monotime.Micros      `json:"told_at,omitempty"` // valid with NoticeID
+	Ended      bool                 `json:"ended,omitempty"`
+	End        fleet.Exit           `json:"end"` // valid with Ended
 }
 
 // stateVersion is the format version of the state file and of reports. A state file of a newer version is an error and
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -26,7 +26,7 @@
 	Launcher    []string             // command line that calls WaitAndExec with the arguments that are appended
 	Command     []string             // command line of the instance; --inspect SOCKET is appended
 	Env         []string             // added to the environment of the supervisor
-	Window      fleet.ShutdownWindow // of the instance
+	Window      fleet.ShutdownWindow // by the configuration file; counts until the instance's own is known
 	Bounds      limits.Control
 }
 
