Dispatcher: keep the IDs of non-idempotent requests that ran

Cause: duplicates were looked for among the requests in flight and the results by idempotency key. A non-idempotent request has no key, so its ID was forgotten at the end of its run, and the same ID just after it was admitted.

Evidence: the new server test sends the ID during the run and after it, after a close and after a reset. On the former code the two cases after the run launch again, the two during it do not, so neither the end of the connection nor late reading is the cause.

Fix: a bounded set of the IDs that ran (two generations, at least twice the longest read delay). A known ID gets an error, also beyond the limits of a connection or of the process, where a duplicate in flight was told that nothing had run. A full set rejects before the run.

Runs: TestReturningIDRunsOnce failed on the former code ("launched again", 2 of 4 cases, 1 run), passes 3 of 3 now. All packages below internal/backend pass.

--- a/internal/backend/dispatch/admit.go
+++ b/internal/backend/dispatch/admit.go
@@ -57,6 +57,9 @@
 	}
 	delete(d.inFlight, req.id)
 	d.recordResult(req, outcome, result)
+	if req.nonIdempotent && outcome != NeverRan && outcome != Unrunnable {
+		d.recentIDs.Add(Now(), req.id)
+	}
 	_ = d.decide(Now(), admission.Finished{ID: req.id, Outcome: moduleOutcomes[outcome]})
 	return answerDue
 }
@@ -138,6 +141,7 @@
 	}
 	if operations := d.settings.Admission.Operations; inv.Operation < len(operations) {
 		req.objectiveAt = inv.ArrivedAt + operations[inv.Operation].Objective
+		req.nonIdempotent = operations[inv.Operation].RetrySafety == admission.NonIdempotent
 	}
 	return req
 }
@@ -163,14 +167,20 @@
 	case keyed && req.original == "" && !d.results.HasCapacity(): // no room to cache the result for repeats
 		d.counts.CacheFull++
 		return retryElsewhere, true
+	case req.nonIdempotent && !d.recentIDs.HasCapacity(now, len(d.inFlight)): // its ID could not be kept after the run
+		d.counts.CacheFull++
+		return retryElsewhere, true
 	}
 	return Response{}, false
 }
 
-// isDuplicateID reports whether another request with this ID is in flight or in the result cache. Each attempt must
-// have a unique ID, so a duplicate is the caller's error. It must neither end the other request nor evict its result.
+// isDuplicateID reports whether another request with this ID is in flight, in the result cache, or was non-idempotent
+// and ran. Each attempt must have a unique ID, so a duplicate is the caller's error. It must neither end the other
+// request, nor evict its result, nor run a second time after the caller of the first has left.
 func (d *Dispatcher) isDuplicateID(id string) bool {
-	return d.inFlight[id] != nil || d.results != nil && d.results.Contains(id)
+	return d.inFlight[id] != nil ||
+		d.results != nil && d.results.Contains(id) ||
+		d.recentIDs != nil && d.recentIDs.Contains(Now(), id)
 }
 
 // betweenGraceEnds reports whether a request arrived after the end of the dispatcher's grace period and before the end
--- a/internal/backend/dispatch/admit_test.go
+++ b/internal/backend/dispatch/admit_test.go
@@ -6,6 +6,7 @@
 
 	"milletbarrow/admission"
 	"milletbarrow/internal/fakes"
+	"milletbarrow/internal/limits"
 	"milletbarrow/monotime"
 )
 
@@ -157,6 +158,65 @@
 	}
 }
 
+// nonIdempotentInvocation returns an invocation of the second operation of an open dispatcher, which must not run twice.
+func nonIdempotentInvocation(id string) Invocation {
+	inv := newInvocation(id)
+	inv.Operation = 1
+	return inv
+}
+
+// TestNonIdempotentRequestRunsOnce guards against a second run of an ID that comes again after the caller of the first
+// has left: the dispatcher knew the IDs in flight only. An ID that never ran may come again.
+func TestNonIdempotentRequestRunsOnce(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		outcome Outcome
+		again   Verdict
+	}{
+		{"succeeded", RunSucceeded, Errored},
+		{"failed", RunErrored, Errored},
+		{"canceled", RunCancelled, Errored},
+		{"never ran", NeverRan, Admitted},
+		{"unrunnable", Unrunnable, Admitted},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			d := open(t)
+			_, first := d.Admit(nonIdempotentInvocation("a"))
+			d.Abandon(first)
+			d.Complete(first, test.outcome, nil)
+			again := nonIdempotentInvocation("a")
+			again.Retry = true
+			if mayHaveRun := d.MayHaveRun(again); mayHaveRun != (test.again == Errored) {
+				t.Errorf("may have run: %t", mayHaveRun)
+			}
+			if resp, _ := d.Admit(again); resp.Verdict != test.again {
+				t.Errorf("the same ID again: verdict %d, want %d", resp.Verdict, test.again)
+			}
+		})
+	}
+}
+
+// TestFullRecentIDsRejectNewWork checks that a non-idempotent request whose ID could not be kept is throttled before it
+// runs, and that idempotent requests run.
+func TestFullRecentIDsRejectNewWork(t *testing.T) {
+	d := newDispatcher(t, fakes.Settings, func(b *limits.Bounds) { b.RecentIDs = 2 })
+	d.Open(false, 0)
+	_, first := d.Admit(nonIdempotentInvocation("a"))
+	d.Complete(first, RunSucceeded, nil)
+	if resp, _ := d.Admit(nonIdempotentInvocation("b")); resp.Verdict != Admitted {
+		t.Fatalf("the second: verdict %d, want Admitted", resp.Verdict)
+	}
+	if resp, _ := d.Admit(nonIdempotentInvocation("c")); resp.Verdict != Throttled || resp.RetryAfter == 0 {
+		t.Errorf("beyond the capacity: %+v, want verdict Throttled with a Retry-After", resp)
+	}
+	if resp, _ := d.Admit(newInvocation("d")); resp.Verdict != Admitted {
+		t.Errorf("an idempotent one: verdict %d, want Admitted", resp.Verdict)
+	}
+	if d.counts.CacheFull != 1 {
+		t.Errorf("counted %d as rejected for a full cache, want 1", d.counts.CacheFull)
+	}
+}
+
 // The queue time of the module's arrival event is never negative, and its time left is always positive.
 func TestArrivalTimesAreClamped(t *testing.T) {
 	const now = 10 * monotime.Second
--- a/internal/backend/dispatch/dispatcher.go
+++ b/internal/backend/dispatch/dispatcher.go
@@ -9,6 +9,8 @@
 //   - A request with the ID of a request in flight or in the result cache does not affect that request:
 //     TestAbandonedDuplicateLeavesRunningRequest, TestAbandonedDuplicateLeavesQueuedRequest,
 //     TestDuplicateOfCachedIDIsRejected.
+//   - A non-idempotent request that ran does not run again, even if its caller had left:
+//     TestNonIdempotentRequestRunsOnce, TestFullRecentIDsRejectNewWork.
 //   - A quota unit is refunded unless its request ran: TestQuotaUnitIsRefundedUnlessRun.
 //   - The grace period of a shutdown is never extended: TestSecondNoticeNeverExtendsGrace.
 package dispatch
@@ -68,6 +70,8 @@
 	readyRepeats     []string           // IDs of repeats whose original has ended
 	answeringRepeats bool               // answerRepeats is running and must not be re-entered
 
+	recentIDs *idempotency.RecentIDs // of non-idempotent requests that ran; nil if no operation is non-idempotent
+
 	degradation *degradationState // nil without a degradation policy
 	quotas      *quotaState       // nil without fleet-wide quotas
 	shadow      *shadowState      // nil without a shadow configuration
@@ -82,7 +86,7 @@
 	Errored   int
 	Abandoned int // requests that the caller canceled before the answer
 	Replayed  int // requests answered with the result of an earlier run
-	CacheFull int // requests rejected because the result cache was full
+	CacheFull int // requests rejected because the result cache or the set of recent IDs was full
 	Ticks     int
 	Unsampled int // ticks without a fresh sample of the gauges
 	Panics    int // of the module
@@ -92,8 +96,11 @@
 func New(settings *config.Settings, seed uint64, bounds limits.Bounds) *Dispatcher {
 	d := &Dispatcher{settings: settings, seed: seed, bounds: bounds, inFlight: map[string]*Request{}}
 	for _, op := range settings.Admission.Operations {
-		if op.RetrySafety == admission.IdempotencyKeyed && d.results == nil {
+		switch {
+		case op.RetrySafety == admission.IdempotencyKeyed && d.results == nil:
 			d.results = idempotency.New(bounds.IdempotencyCacheSize, bounds.ResultSize)
+		case op.RetrySafety == admission.NonIdempotent && d.recentIDs == nil:
+			d.recentIDs = idempotency.NewRecentIDs(bounds.RecentIDs, d.recentIDRetention())
 		}
 	}
 	return d
--- a/internal/backend/dispatch/replay.go
+++ b/internal/backend/dispatch/replay.go
@@ -19,10 +19,14 @@
 	return true
 }
 
-// IsRepeat reports whether a request repeats a request in the result cache.
-func (d *Dispatcher) IsRepeat(inv Invocation) bool {
+// MayHaveRun reports whether a request with the same ID or the same idempotency key is in flight or has run here, so
+// that no other backend may run it.
+func (d *Dispatcher) MayHaveRun(inv Invocation) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.isDuplicateID(inv.ID) {
+		return true
+	}
 	var req Request
 	return d.identify(&inv, &req) && req.original != ""
 }
@@ -36,6 +40,13 @@
 	return longest + d.settings.Admission.AnswerSlack
 }
 
+// recentIDRetention returns how long the ID of a non-idempotent request is kept after its run. A request with the same
+// ID may arrive until the caller of the first would have timed out, and be read as much later.
+func (d *Dispatcher) recentIDRetention() monotime.Micros {
+	const arrivalAndRead = 2
+	return arrivalAndRead * d.maxReadDelay()
+}
+
 // addToCache adds a request to the result cache for the time that the module sets, plus AnswerSlack for the difference
 // between the caller's clock and this one.
 func (d *Dispatcher) addToCache(a admission.Remember) {
--- a/internal/backend/dispatch/request.go
+++ b/internal/backend/dispatch/request.go
@@ -77,6 +77,7 @@
 	shedRetryAfter monotime.Micros // minimum Retry-After if a degradation level sheds it; 0: not shed
 	unitBudget     int             // index of the budget that its unit was acquired from, or noBudget
 	key            idempotency.Key // zero unless the operation uses idempotency keys
+	nonIdempotent  bool            // it must not run again once it has run
 	original       string          // ID of the request that it repeats; "": not a repeat
 	running        bool
 	answered       bool // the final response has been sent, or none is needed
--- a/internal/backend/server/idempotency_test.go
+++ b/internal/backend/server/idempotency_test.go
@@ -80,6 +80,57 @@
 	}
 }
 
+// TestReturningIDRunsOnce guards against a second run of a non-idempotent invocation whose caller closes or resets its
+// connection and sends the same ID again on a new one, before or after the end of the run.
+func TestReturningIDRunsOnce(t *testing.T) {
+	for _, test := range []struct {
+		name                 string
+		reset, afterEndOfRun bool
+	}{
+		{"closed, during the run", false, false},
+		{"closed, after the run", false, true},
+		{"reset, during the run", true, false},
+		{"reset, after the run", true, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := openServer(t, nil)
+			first, second := fakes.Dial(t, s.address), fakes.Dial(t, s.address)
+			attempt := func(edits ...string) string {
+				fields := fakes.EncodeFields(fakes.DefaultFields(1, append(edits, "class=post")...)...)
+				return fakes.EncodeFrame(byte(frame.KindInvocation), 1, fields+"body")
+			}
+			first.Send(attempt())
+			launch := s.nextLaunch(t)
+			if test.reset {
+				resetOnClose(t, first)
+			}
+			_ = first.Close()
+			fakes.Until(t, "the caller's leaving is noticed", func() bool {
+				counts, _ := s.dispatcher.Counts()
+				return counts.Abandoned == 1
+			})
+			endRun := func() {
+				s.fakeExecutor.End(launch.ID, "complete", "r")
+				fakes.Until(t, "the run has ended", func() bool { return s.dispatcherInFlight() == 0 })
+				s.fakeExecutor.Forget(launch.ID) // an executor ignores a launch only while the same ID runs
+			}
+			if test.afterEndOfRun {
+				endRun()
+			}
+			second.Send(attempt("retry=1"))
+			if f := second.Expect(); f.Code != errored {
+				t.Errorf("the same ID again: %v, want errored", f)
+			}
+			if n := len(s.fakeExecutor.Launches); n != 0 {
+				t.Errorf("launched again: %v", <-s.fakeExecutor.Launches)
+			}
+			if !test.afterEndOfRun {
+				endRun()
+			}
+		})
+	}
+}
+
 // An invocation whose idempotency key is missing or too long is errored and does not run. Beyond the limit on streams a
 // repeat is errored, as another backend would run it again, and an original is throttled.
 func TestIdempotencyKeyIsRequired(t *testing.T) {
--- a/internal/backend/server/invocation.go
+++ b/internal/backend/server/invocation.go
@@ -51,11 +51,11 @@
 }
 
 // rejectOverLimit answers an invocation beyond the limit of the connection or of the process. The answer is Throttled,
-// as the invocation has not run and another backend may have capacity. For a repeat of an invocation that ran here it
-// is Errored, as another backend would run it a second time.
+// as the invocation has not run and another backend may have capacity. If it may have run here, it is Errored, as
+// another backend would run it a second time.
 func (c *conn) rejectOverLimit(st *stream, inv dispatch.Invocation) {
 	code := frame.Throttled
-	if c.server.dispatcher.IsRepeat(inv) {
+	if c.server.dispatcher.MayHaveRun(inv) {
 		code = frame.Errored
 	}
 	c.sendFrame(func(to []byte) []byte { return frame.AppendAnswer(to, st.number, code, 0, false, nil) })
--- a/internal/limits/instance.go
+++ b/internal/limits/instance.go
@@ -38,6 +38,7 @@
 	UnsentTotal          int64 // bytes of answers that all peers together leave unread
 	IdempotencyCacheSize int   // bytes of the cache for idempotency keys, with the results
 	IdempotencyKeySize   int   // bytes of an idempotency key
+	RecentIDs            int   // IDs of non-idempotent invocations that ran, kept to recognize them
 	OutputBuffer         int   // bytes of the largest output buffer that is reused
 	PartialFrameBuffer   int   // bytes of the largest buffer of a partial frame that is reused
 	ReadBuffer           int   // bytes read from one connection at a time
@@ -100,6 +101,7 @@
 	eighths            = 8
 	unsentDivisor      = 8  // of the memory, for Bounds.UnsentTotal
 	idempotencyDivisor = 16 // of the memory, for Bounds.IdempotencyCacheSize
+	recentIDsDivisor   = 16 // of the memory, for Bounds.RecentIDs
 	// A quarter of the memory is for connections and a quarter for invocations; the rest is for the garbage collector.
 	capacityDivisor   = 4
 	highWaterQuarters = 3 // of Bounds.Connections, for Bounds.ConnectionsHighWater
@@ -107,6 +109,7 @@
 
 	reservedDescriptors     = 24       // for the executor, the registry, the pollers and the standard streams
 	closingConnections      = 12       // connections being closed at the same time
+	bytesPerRecentID        = 96       // an ID and its slot in a map that may have just grown
 	bytesPerInvocation      = 16 << 10 // goroutine, body, result, and the answer until it is written
 	bytesPerConnection      = 20 << 10 // buffers of netpoll and of this program, with a partial frame
 	invocationFrameOverhead = 8 << 10  // bytes of an invocation's frame beside its body
@@ -239,6 +242,7 @@
 	b.UnsentPerConnection = answersPerStream * b.Streams * (b.ResultSize + answerOverhead)
 	b.UnsentTotal = int64(memory / unsentDivisor)
 	b.IdempotencyCacheSize = int(memory / idempotencyDivisor)
+	b.RecentIDs = int(memory / recentIDsDivisor / bytesPerRecentID)
 	capacity := memory / capacityDivisor
 	freeDescriptors := descriptors - reservedDescriptors - closingConnections
 	b.Connections = max(1, min(freeDescriptors, int(capacity/bytesPerConnection)))
