--- a/internal/backend/dispatch/admit_test.go
+++ b/internal/backend/dispatch/admit_test.go
@@ -158,7 +158,7 @@
 	}
 }
 
-// nonIdempotentInvocation returns an invocation of the second operation of an open dispatcher, which must not run twice.
+// nonIdempotentInvocation returns an invocation of the second operation, which must not run twice.
 func nonIdempotentInvocation(id string) Invocation {
 	inv := newInvocation(id)
 	inv.Operation = 1
--- a/internal/backend/idempotency/recent_ids.go
+++ b/internal/backend/idempotency/recent_ids.go
@@ -2,8 +2,8 @@
 
 import "milletbarrow/monotime"
 
-// RecentIDs is a bounded set of IDs of invocations that ran. Each ID is kept for at least the retention time and at most
-// twice as long. It is not safe for concurrent use.
+// RecentIDs is a bounded set of IDs of invocations that ran. Each ID is kept for at least the retention time and at
+// most twice as long. It is not safe for concurrent use.
 //
 // The IDs are in two generations. The older one is dropped as a whole, so that no ID has to be expired by itself.
 type RecentIDs struct {
