Supervisor: check an adopted instance before it is killed as unresponsive

Cause: an adopting supervisor knew the notice but no acknowledgement, and took its first step before its first health check had an outcome. Near the end of the grace, that counted as a missed notice.

Fix: the state file keeps the acknowledgement.

--- a/internal/agent/helpers_test.go
+++ b/internal/agent/helpers_test.go
@@ -89,12 +89,16 @@
 	os.Exit(0)
 }
 
-// instanceExitTime is how long after its shutdown notice an instance process exits.
-const instanceExitTime = 400 * time.Millisecond
+// Times from its shutdown notice to the exit of an instance process.
+const (
+	instanceExitTime  = 400 * time.Millisecond
+	lingeringExitTime = 5 * time.Second // of a lingering instance
+)
 
 // instanceProcess is the state of an instance process, which serves only its admin socket. The prefix of its name
 // selects the fault that it simulates: ignoring (ignores notices), exiting (exits at the notice with an error), unready
-// (never becomes ready), crashing (exits at its start with an error) or flooding (writes to its log continuously).
+// (never becomes ready), crashing (exits at its start with an error), lingering (drains for lingeringExitTime) or flooding (writes to its log
+// continuously).
 type instanceProcess struct {
 	name       string
 	grace      monotime.Micros // by its configuration file at the time of its start
@@ -171,7 +175,11 @@
 		os.Exit(7)
 	}
 	elapsed := process.Now() - monotime.Micros(p.notifiedAt.Load())
-	<-time.After(instanceExitTime - elapsed.Duration())
+	exitTime := instanceExitTime
+	if p.hasFault("lingering") {
+		exitTime = lingeringExitTime
+	}
+	<-time.After(exitTime - elapsed.Duration())
 	os.Exit(0)
 }
 
--- a/internal/agent/recovery_test.go
+++ b/internal/agent/recovery_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"milletbarrow/internal/agent/agentstore"
 	"milletbarrow/internal/fakes"
@@ -212,6 +213,29 @@
 	wantOutcomes(t, h.agent.Command("drain"), map[string]fleet.Outcome{"a": fleet.OutcomeSucceeded})
 }
 
+// TestInstanceAdoptedAfterGraceDrainsToItsEnd guards against the kill of a draining instance by the supervisor that
+// adopts it: when its grace period is nearly over, the supervisor took the missing response for a missed notice.
+func TestInstanceAdoptedAfterGraceDrainsToItsEnd(t *testing.T) {
+	timing := longTiming
+	timing.grace = 2 * time.Second
+	h := newTimedHost(t, timing, "lingering")
+	h.startAgent(nil)
+	h.mustSubmit("start", fleet.KindStart)
+	h.waitForCommand("start")
+	h.mustSubmit("drain", fleet.KindDrain)
+	h.waitUntil("the grace period has ended", func() bool {
+		return h.agent.Status().Instances[0].Phase == fleet.PhaseStopping
+	})
+	h.stopAgent()
+	h.supervisorState("lingering").Supervisor.Signal(syscall.SIGKILL)
+	h.startAgent(nil)
+	h.waitUntil("the drain has ended", func() bool { return h.commandDone("drain") })
+	wantOutcomes(t, h.agent.Command("drain"), map[string]fleet.Outcome{"lingering": fleet.OutcomeSucceeded})
+	if s := h.supervisorState("lingering"); s.End.DrainTime < monotime.FromDuration(lingeringExitTime) {
+		t.Errorf("ended after %v: %v", s.End.DrainTime.Duration(), s.End)
+	}
+}
+
 // TestReloadRejectsOmittedRunningInstance checks that a reload with a fleet file that omits a running instance is
 // rejected, and that a reload can add instances.
 func TestReloadRejectsOmittedRunningInstance(t *testing.T) {
--- a/internal/supervisor/claim.go
+++ b/internal/supervisor/claim.go
@@ -31,6 +31,7 @@
 		s.record = previous
 		s.monitor.NoticeID = previous.NoticeID
 		s.monitor.NotifiedAt = previous.NotifiedAt
+		s.monitor.Acknowledged = previous.Acknowledged
 		if previous.Window != (fleet.ShutdownWindow{}) { // the configuration file may have changed since the launch
 			s.monitor.Window = previous.Window
 		}
--- a/internal/supervisor/claim_test.go
+++ b/internal/supervisor/claim_test.go
@@ -100,7 +100,7 @@
 // previous supervisor recorded.
 func TestAdoptionKeepsRecordedNotice(t *testing.T) {
 	previous := &State{
-		Name: "n1", Incarnation: "r2", Instance: self(t), NoticeID: "s1", NotifiedAt: 5 * second,
+		Name: "n1", Incarnation: "r2", Instance: self(t), NoticeID: "s1", NotifiedAt: 5 * second, Acknowledged: true,
 	}
 	s := newTestSupervisor(t, previous, true)
 	if err := s.claim(); err != nil {
@@ -109,6 +109,9 @@
 	if s.monitor.NoticeID != "s1" || s.monitor.NotifiedAt != 5*second {
 		t.Errorf("notified by %q at %d", s.monitor.NoticeID, s.monitor.NotifiedAt)
 	}
+	if !s.monitor.Acknowledged {
+		t.Error("the notice counts as not acknowledged")
+	}
 	if s.monitor.RecordNotice(6*second, "s2") {
 		t.Error("a second notice was recorded as the first")
 	}
@@ -156,6 +159,23 @@
 	}
 }
 
+// TestAcknowledgementIsRecorded checks that the acknowledgement of a notice is written to the state file, for the next
+// supervisor.
+func TestAcknowledgementIsRecorded(t *testing.T) {
+	s := newClaimedSupervisor(t)
+	if err := s.acceptNotice("s1"); err != nil {
+		t.Fatal(err)
+	}
+	s.observe(ready())
+	if s.record.Acknowledged {
+		t.Error("acknowledged by an instance that serves")
+	}
+	s.observe(draining(s.record.NotifiedAt + testWindow.Grace))
+	if written, err := ReadState(s.paths.State); err != nil || !written.Acknowledged {
+		t.Errorf("acknowledgement written: %t, %v", written.Acknowledged, err)
+	}
+}
+
 // TestLockIsExclusive checks that only one supervisor at a time holds the lock, and that another one can acquire it
 // after its release.
 func TestLockIsExclusive(t *testing.T) {
--- a/internal/supervisor/health_check.go
+++ b/internal/supervisor/health_check.go
@@ -29,11 +29,12 @@
 func (s *supervisor) checkHealth(ctx context.Context) Observation {
 	ctx, cancel := context.WithTimeout(ctx, s.options.Bounds.IdlePollInterval)
 	defer cancel()
+	requestedAt := process.Now()
 	state, err := s.instance.State(ctx)
 	if err != nil {
-		return Observation{}
+		return Observation{RequestedAt: requestedAt}
 	}
-	return Observation{State: &state}
+	return Observation{RequestedAt: requestedAt, State: &state}
 }
 
 // observe passes the outcome of a health check to the monitor, and keeps the state for reports.
@@ -45,8 +46,13 @@
 		return
 	}
 	s.lastState = o.State
-	if o.State.ExitTimeout != 0 && s.record.Window != s.monitor.Window {
-		s.record.Window = s.monitor.Window
-		_ = s.writeRecord() // the error is logged; the window stays known until this process ends
+	known := s.record
+	if o.State.ExitTimeout != 0 {
+		known.Window = s.monitor.Window
+	}
+	known.Acknowledged = s.monitor.Acknowledged
+	if known != s.record {
+		s.record = known
+		_ = s.writeRecord() // the error is logged; the monitor knows both until this process ends
 	}
 }
--- a/internal/supervisor/monitor.go
+++ b/internal/supervisor/monitor.go
@@ -44,7 +44,8 @@
 
 // Observation is the outcome of one health check of the instance.
 type Observation struct {
-	State *admin.State // nil: the instance did not respond
+	RequestedAt monotime.Micros // when the health check was sent
+	State       *admin.State    // nil: the instance did not respond
 }
 
 // Monitor decides when an incarnation of an instance is notified of its shutdown and when it is killed. It is not safe
@@ -56,6 +57,8 @@
 //   - Only the first notice counts: TestMonitorTraceForEachInstanceFault, TestAdoptionKeepsRecordedNotice. The signal
 //     is sent once: TestShutdownIsSignalledOnce.
 //   - Notices on the admin socket are at least socketNoticeInterval apart: TestSocketNoticesAreSpaced.
+//   - An instance is killed as unresponsive only after a health check that was sent after the notice:
+//     TestAdoptedInstanceIsCheckedBeforeKill, TestKillAwaitsCheckAfterNotice.
 //   - The window that the instance reports counts, not the one that its configuration file has by now:
 //     TestReportedWindowCounts, TestAdoptionKeepsWindowOfLaunch.
 //   - The first cause of a kill is kept, and the kill is repeated until the exit: TestFirstKillCauseStays.
@@ -66,13 +69,16 @@
 	Window     fleet.ShutdownWindow // the one that the instance reports replaces it
 	NoticeID   string               // ID of the action that delivered the shutdown notice; empty: no notice
 	NotifiedAt monotime.Micros      // valid with NoticeID
-	KillCause  string               // why the instance was killed; empty: it was not
+	// Acknowledged is set once the instance has reported that it drains within the window of the notice.
+	Acknowledged bool
+	KillCause    string // why the instance was killed; empty: it was not
 
 	signalSent       bool            // SignalShutdown was returned
 	socketNotifiedAt monotime.Micros // the latest notice on the admin socket; 0: none
 	wasReady         bool            // the instance has been ready at least once
 	lastState        *admin.State    // from the latest response; nil: none yet
 	lastStateAt      monotime.Micros // when lastState was observed
+	lastCheckAt      monotime.Micros // when the latest health check with an outcome was sent; 0: none yet
 	drainingSince    monotime.Micros // when the instance began to drain without a notice; 0: it has not
 }
 
@@ -95,6 +101,7 @@
 
 // Observe records the outcome of a health check.
 func (m *Monitor) Observe(now monotime.Micros, o Observation) {
+	m.lastCheckAt = o.RequestedAt
 	if o.State == nil {
 		return
 	}
@@ -107,14 +114,19 @@
 	if o.State.Draining && m.NoticeID == "" && m.drainingSince == 0 {
 		m.drainingSince = min(now, o.State.GraceEnds-m.Window.Grace)
 	}
+	m.Acknowledged = m.Acknowledged || m.NoticeID != "" && m.drainsInWindow()
 }
 
-// acknowledged reports whether the instance, by its latest response, drains within the window of the notice.
-func (m *Monitor) acknowledged() bool {
+// drainsInWindow reports whether the instance, by its latest response, drains within the window of the notice.
+func (m *Monitor) drainsInWindow() bool {
 	return m.lastState != nil && m.lastState.Draining &&
 		m.lastState.GraceEnds <= m.NotifiedAt+m.Window.Grace+lateNoticeAllowance
 }
 
+// checkedSinceNotice reports whether a health check that was sent after the notice has an outcome. Without one, nothing
+// is known of the instance's reaction, for example right after its adoption.
+func (m *Monitor) checkedSinceNotice() bool { return m.lastCheckAt >= m.NotifiedAt }
+
 // shutdownStart returns when the shutdown began, by a notice or by the instance itself, or 0 if it has not begun.
 func (m *Monitor) shutdownStart() monotime.Micros {
 	if m.NoticeID != "" {
@@ -137,9 +149,9 @@
 		m.signalSent = true
 		actions = append(actions, SignalShutdown)
 	}
-	acknowledged := m.NoticeID == "" || m.acknowledged()
+	acknowledged := m.NoticeID == "" || m.Acknowledged
 	switch {
-	case !acknowledged && elapsed >= m.Window.Grace-killMargin:
+	case !acknowledged && m.checkedSinceNotice() && elapsed >= m.Window.Grace-killMargin:
 		// The instance would admit requests after its grace period, whose callers may be gone. That is worse than
 		// losing the requests in flight.
 		m.KillCause = causeNoticeNotAcknowledged
@@ -162,7 +174,7 @@
 	switch {
 	case m.KillCause != "":
 		return fleet.PhaseUnresponsive, m.KillCause
-	case m.NoticeID != "" && !m.acknowledged() && now-start >= acknowledgeTimeout:
+	case m.NoticeID != "" && !m.Acknowledged && now-start >= acknowledgeTimeout:
 		return fleet.PhaseUnresponsive, causeUnacknowledged
 	case start != 0 && now-start >= m.Window.Grace:
 		return fleet.PhaseStopping, ""
--- a/internal/supervisor/monitor_invariants_test.go
+++ b/internal/supervisor/monitor_invariants_test.go
@@ -178,3 +178,46 @@
 		t.Errorf("at its exit timeout: %v, want a kill", actions)
 	}
 }
+
+// TestAdoptedInstanceIsCheckedBeforeKill guards against the kill of an adopted instance that obeys its notice: at the
+// supervisor's first step, when most of the grace period was over, it had no response of the instance yet.
+func TestAdoptedInstanceIsCheckedBeforeKill(t *testing.T) {
+	const notifiedAt, adoptedAt = second, 4 * second
+	for _, test := range []struct {
+		name    string
+		outcome Observation
+		killed  bool
+	}{
+		{"drains", Observation{RequestedAt: adoptedAt, State: draining(notifiedAt + testWindow.Grace).State}, false},
+		{"serves", Observation{RequestedAt: adoptedAt, State: ready().State}, true},
+		{"does not respond", Observation{RequestedAt: adoptedAt}, true},
+	} {
+		window := fleet.ShutdownWindow{Grace: testWindow.Grace, ExitTimeout: 10 * second}
+		m := &Monitor{Window: window, NoticeID: "s1", NotifiedAt: notifiedAt}
+		if actions := m.NextActions(adoptedAt); slices.Contains(actions, KillGroup) {
+			t.Errorf("%s: killed before the first health check", test.name)
+		}
+		m.Observe(adoptedAt+50*millisecond, test.outcome)
+		actions := m.NextActions(adoptedAt + 50*millisecond)
+		if killed := slices.Contains(actions, KillGroup); killed != test.killed {
+			t.Errorf("%s: killed %t after the first health check, want %t", test.name, killed, test.killed)
+		}
+	}
+}
+
+// TestKillAwaitsCheckAfterNotice checks that the outcome of a health check that was sent before the notice is no ground
+// for a kill, however late it comes.
+func TestKillAwaitsCheckAfterNotice(t *testing.T) {
+	const notifiedAt = second
+	killAt := notifiedAt + testWindow.Grace - killMargin
+	m := &Monitor{Window: testWindow}
+	m.RecordNotice(notifiedAt, "s1")
+	m.Observe(killAt, Observation{RequestedAt: notifiedAt - 1, State: ready().State})
+	if actions := m.NextActions(killAt); slices.Contains(actions, KillGroup) {
+		t.Error("killed by a response to a health check before the notice")
+	}
+	m.Observe(killAt+1, Observation{RequestedAt: notifiedAt, State: ready().State})
+	if actions := m.NextActions(killAt + 1); !slices.Contains(actions, KillGroup) {
+		t.Errorf("%v after the response to a health check since the notice, want a kill", actions)
+	}
+}
--- a/internal/supervisor/monitor_test.go
+++ b/internal/supervisor/monitor_test.go
@@ -73,7 +73,7 @@
 func (f *fakeInstance) check(now monotime.Micros) Observation {
 	f.handleSignal(now)
 	if f.stopped(now) {
-		return Observation{}
+		return Observation{RequestedAt: now}
 	}
 	if f.graceEnds != 0 && !f.neverExits && now >= f.graceEnds-testWindow.Grace+testWindow.ExitTimeout-exitMargin {
 		f.exit(now)
@@ -83,7 +83,7 @@
 		s.Draining = true
 		s.GraceEnds = f.graceEnds
 	}
-	return Observation{State: &s}
+	return Observation{RequestedAt: now, State: &s}
 }
 
 // admits reports whether the instance would admit a request that arrives now.
--- a/internal/supervisor/state.go
+++ b/internal/supervisor/state.go
@@ -27,8 +27,11 @@
 	Window     fleet.ShutdownWindow `json:"window,omitzero"`
 	NoticeID   string               `json:"told,omitempty"`    // ID of the shutdown notice's action; empty: no notice
 	NotifiedAt monotime.Micros      `json:"told_at,omitempty"` // valid with NoticeID
-	Ended      bool                 `json:"ended,omitempty"`
-	End        fleet.Exit           `json:"end"` // valid with Ended
+	// Acknowledged reports that the instance drains within the window of the notice. Files of releases that did not
+	// record it have none.
+	Acknowledged bool       `json:"heard,omitempty"`
+	Ended        bool       `json:"ended,omitempty"`
+	End          fleet.Exit `json:"end"` // valid with Ended
 }
 
 // stateVersion is the format version of the state file and of reports. A state file of a newer version is an error and
