Fleet: set the agent's kill by the window that the instance runs with

Cause: the agent read the shutdown window from the configuration file once, at its start or reload. It killed 4.0 s after the notice, the former 3.5 s and KillDelay, while the backend ran with 6.0 s. After a restart of the agent it was the other way round.

Evidence: the cause of the kill, "not gone by the end of its window", is the agent's; the supervisor's window was right.

Fix: the supervisor reports the window of the incarnation, and the agent keeps it with the instance. A window that becomes known after the notice sets the deadline anew.

--- a/internal/agent/recovery_test.go
+++ b/internal/agent/recovery_test.go
@@ -236,6 +236,22 @@
 	}
 }
 
+// TestLaunchedWindowSetsAgentsKill guards against the agent's kill of a draining instance by the shorter window that
+// its configuration file had when the agent started: the instance was launched with a newer file.
+func TestLaunchedWindowSetsAgentsKill(t *testing.T) {
+	timing := longTiming
+	timing.grace, timing.exitTimeout = 2*time.Second, 3*time.Second
+	h := newTimedHost(t, timing, "lingering")
+	h.startAgent(nil)
+	h.timing.grace, h.timing.exitTimeout = longTiming.grace, longTiming.exitTimeout
+	h.writeConfigs()
+	h.mustSubmit("start", fleet.KindStart)
+	h.waitUntil("the instance has started", func() bool { return h.commandDone("start") })
+	h.mustSubmit("drain", fleet.KindDrain)
+	h.waitUntil("the drain has ended", func() bool { return h.commandDone("drain") })
+	wantOutcomes(t, h.agent.Command("drain"), map[string]fleet.Outcome{"lingering": fleet.OutcomeSucceeded})
+}
+
 // TestReloadRejectsOmittedRunningInstance checks that a reload with a fleet file that omits a running instance is
 // rejected, and that a reload can add instances.
 func TestReloadRejectsOmittedRunningInstance(t *testing.T) {
--- a/internal/fleet/apply_observation.go
+++ b/internal/fleet/apply_observation.go
@@ -11,6 +11,7 @@
 		m.handleExit(now, inst, observed.Exit)
 		return
 	}
+	m.recordWindow(inst, observed)
 	m.countInvocations(now, inst, observed)
 	m.recordLevel(now, inst, observed)
 	if observed.Phase != PhaseUnknown {
@@ -26,6 +27,19 @@
 	}
 }
 
+// recordWindow records the shutdown window that the instance runs with. If it was notified before the window was known,
+// its deadline is set by that window.
+func (m *Machine) recordWindow(inst *Instance, observed Observation) {
+	if observed.Window == (ShutdownWindow{}) || observed.Window == inst.Window {
+		return
+	}
+	inst.Window = observed.Window
+	if inst.NoticeID != "" && inst.KillAttempts == 0 {
+		inst.PhaseDeadline = m.exitDeadline(inst.NotifiedAt, inst)
+	}
+	m.markInstanceChanged(inst)
+}
+
 // countInvocations adds the invocations and rejections since the last observation to the host's rejection rate.
 func (m *Machine) countInvocations(now monotime.Micros, inst *Instance, observed Observation) {
 	if observed.Phase == PhaseUnknown {
--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -59,6 +59,7 @@
 	LaunchesExhausted bool            `json:"spent,omitempty"`    // no further launch until a command requests one
 	LaunchRequested   bool            `json:"free,omitempty"`     // the next launch is not counted by LaunchBudget
 	KillAttempts      int             `json:"kills,omitempty"`    // in this incarnation
+	Window            ShutdownWindow  `json:"window,omitzero"`    // that it runs with; zero: not reported yet
 	LastExit          Exit            `json:"last"`               // of the previous incarnation
 	LaunchBudget      LaunchBudget    `json:"budget"`             // of launches that no command requested
 	Unit              Unit            `json:"unit,omitzero"`      // of a concurrency quota of the fleet
@@ -78,9 +79,9 @@
 
 	// From the spec.
 
-	group     *GroupSpec
-	shutdown  ShutdownWindow
-	fileOrder int // position among the host's instances in the file
+	group        *GroupSpec
+	configWindow ShutdownWindow // of the configuration file when the spec was read
+	fileOrder    int            // position among the host's instances in the file
 }
 
 // ShutdownWindow holds the times that an instance has from the shutdown notice on, by the configuration with which it
--- a/internal/fleet/invariants_test.go
+++ b/internal/fleet/invariants_test.go
@@ -148,7 +148,7 @@
 	host.now += 2 * second
 	host.restart()
 	inst, _ := host.m.Instance("a")
-	wantDeadline := host.now + inst.shutdown.ExitTimeout + host.m.config.KillDelay
+	wantDeadline := host.now + inst.configWindow.ExitTimeout + host.m.config.KillDelay
 	if inst.NotifiedAt != host.now || inst.PhaseDeadline != wantDeadline {
 		t.Errorf("notified at %d with the deadline %d, want %d and %d",
 			inst.NotifiedAt, inst.PhaseDeadline, host.now, wantDeadline)
@@ -284,3 +284,69 @@
 		t.Fatalf("the rejected command changed its instance: %+v", inst)
 	}
 }
+
+// TestReportedWindowSetsExitDeadline guards against the kill of a draining instance by the shutdown window that the
+// configuration file had when the agent read it: the instance runs with another one, which its supervisor reports.
+func TestReportedWindowSetsExitDeadline(t *testing.T) {
+	longer := ShutdownWindow{Grace: testGrace, ExitTimeout: 2 * testExitTimeout}
+	drain := func(host *simulatedHost) {
+		decide(t, host, CommandReceived{&Command{
+			ID: "down", Kind: KindDrain, Names: []string{"a"}, Deadline: host.now + 60*second,
+		}})
+	}
+	report := func(host *simulatedHost, phase Phase) {
+		inst, _ := host.m.Instance("a")
+		decide(t, host, InstanceObserved{Name: "a", Observation: Observation{
+			Incarnation: inst.Incarnation, Phase: phase, NoticeID: inst.NoticeID, Window: longer,
+		}})
+	}
+	for _, test := range []struct {
+		name  string
+		steps func(*simulatedHost)
+	}{
+		{"reported before the notice", func(host *simulatedHost) {
+			report(host, PhaseReady)
+			drain(host)
+		}},
+		{"reported before a restart of the agent", func(host *simulatedHost) {
+			report(host, PhaseReady)
+			host.save()
+			host.restart()
+			drain(host)
+		}},
+		{"reported after the notice", func(host *simulatedHost) {
+			drain(host)
+			host.now += second
+			report(host, PhaseDraining)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			host := newHost(t, readTestSpec(t, twoInstances))
+			startAll(host)
+			test.steps(host)
+			inst, _ := host.m.Instance("a")
+			want := longer.ExitTimeout + host.m.config.KillDelay
+			if got := inst.PhaseDeadline - inst.NotifiedAt; got != want {
+				t.Errorf("deadline %d us after the notice, want %d", got, want)
+			}
+		})
+	}
+}
+
+// TestNextIncarnationHasNoReportedWindow checks that the window of an incarnation does not count for the next one.
+func TestNextIncarnationHasNoReportedWindow(t *testing.T) {
+	host := newHost(t, readTestSpec(t, twoInstances))
+	incarnation := launchA(t, host)
+	decide(t, host, InstanceObserved{Name: "a", Observation: Observation{
+		Incarnation: incarnation, Phase: PhaseReady, Window: ShutdownWindow{Grace: second, ExitTimeout: 9 * second},
+	}})
+	decide(t, host, InstanceObserved{Name: "a", Observation: Observation{
+		Incarnation: incarnation, Phase: PhaseExited, Exit: Exit{Code: 3},
+	}})
+	inst := host.m.instances["a"]
+	host.now = inst.NextAttemptAt
+	decide(t, host, Tick{})
+	if inst.Incarnation == incarnation || inst.Window != (ShutdownWindow{}) {
+		t.Errorf("incarnation %s has the window %+v, want a new one without", inst.Incarnation, inst.Window)
+	}
+}
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -48,13 +48,13 @@
 		m.groups[group.Name] = group
 		m.instanceNames = append(m.instanceNames, instanceSpec.Name)
 		m.instances[instanceSpec.Name] = &Instance{
-			Name:      instanceSpec.Name,
-			Group:     group.Name,
-			Spare:     instanceSpec.Spare,
-			Phase:     PhaseAbsent,
-			group:     group,
-			shutdown:  window(instanceSpec),
-			fileOrder: i,
+			Name:         instanceSpec.Name,
+			Group:        group.Name,
+			Spare:        instanceSpec.Spare,
+			Phase:        PhaseAbsent,
+			group:        group,
+			configWindow: window(instanceSpec),
+			fileOrder:    i,
 		}
 	}
 	return m
--- a/internal/fleet/observation.go
+++ b/internal/fleet/observation.go
@@ -18,7 +18,9 @@
 	Rejected    int    `json:"turned"`           // of Invocations: throttled or answered with an error
 	Level       string `json:"level,omitempty"`  // of degradation; empty: not known
 	LevelCause  string `json:"why,omitempty"`    // of the latest change of Level
-	Detail      Detail `json:"detail,omitempty"` // from a supervisor of another release; empty: none
+	// Window is the shutdown window that the instance runs with; zero: not known.
+	Window ShutdownWindow `json:"window,omitzero"`
+	Detail Detail         `json:"detail,omitempty"` // from a supervisor of another release; empty: none
 }
 
 // Detail is a JSON value whose form this release does not know; empty: none. It is passed on unchanged. It is a string
--- a/internal/fleet/reconcile.go
+++ b/internal/fleet/reconcile.go
@@ -111,6 +111,7 @@
 	inst.Incarnation = inst.ActionID
 	inst.Invocations = 0
 	inst.Rejected = 0
+	inst.Window = ShutdownWindow{}
 	inst.PhaseDeadline = now + m.readinessTimeout(inst)
 	inst.setPhase(now, PhaseStarting, cause)
 }
@@ -141,9 +142,14 @@
 	})
 }
 
-// exitDeadline returns the time at which the agent kills an instance that is notified now.
-func (m *Machine) exitDeadline(now monotime.Micros, inst *Instance) monotime.Micros {
-	return now + inst.shutdown.ExitTimeout + m.config.KillDelay
+// exitDeadline returns the time at which the agent kills an instance that was notified at notifiedAt. The window that
+// the instance runs with counts; the configuration file may have another one, for the next incarnation.
+func (m *Machine) exitDeadline(notifiedAt monotime.Micros, inst *Instance) monotime.Micros {
+	window := inst.Window
+	if window == (ShutdownWindow{}) {
+		window = inst.configWindow
+	}
+	return notifiedAt + window.ExitTimeout + m.config.KillDelay
 }
 
 // readinessTimeout returns how long the instance may take from its launch until it is ready: the value of the rolling
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -41,7 +41,7 @@
 	inst.Group = fromSpec.Group
 	inst.Spare = fromSpec.Spare
 	inst.group = fromSpec.group
-	inst.shutdown = fromSpec.shutdown
+	inst.configWindow = fromSpec.configWindow
 	inst.fileOrder = fromSpec.fileOrder
 	inst.ReadySince = 0
 	inst.Invocations = unknownInvocations
--- a/internal/supervisor/api.go
+++ b/internal/supervisor/api.go
@@ -46,6 +46,7 @@
 	cause    string
 	noticeID string
 	level    string
+	window   fleet.ShutdownWindow
 }
 
 // publishedReport has the parts of the latest published report with which the next one is compared.
@@ -60,8 +61,13 @@
 func (s *supervisor) publishIfChanged(now monotime.Micros) {
 	phase, cause := s.monitor.Phase(now)
 	current := publishedReport{
-		reportKey: reportKey{phase: phase, cause: cause, noticeID: s.record.NoticeID},
-		at:        now,
+		reportKey: reportKey{
+			phase:    phase,
+			cause:    cause,
+			noticeID: s.record.NoticeID,
+			window:   s.record.Window,
+		},
+		at: now,
 	}
 	if s.lastState != nil {
 		current.arrivals = s.lastState.Arrived
@@ -97,7 +103,11 @@
 
 // observation returns the observation of the instance for the agent's state machine. The caller holds s.mu.
 func (s *supervisor) observation(now monotime.Micros) fleet.Observation {
-	o := fleet.Observation{Incarnation: s.record.Incarnation, NoticeID: s.record.NoticeID}
+	o := fleet.Observation{
+		Incarnation: s.record.Incarnation,
+		NoticeID:    s.record.NoticeID,
+		Window:      s.record.Window,
+	}
 	if s.record.Ended {
 		o.Phase = fleet.PhaseExited
 		o.Exit = s.record.End
