Shutdown: count from the start of a stall if the signal may have come in it

Cause: grace and stop counted from the handling of the signal, which is the end of the pause.

Evidence: the log has the drain with ago_ms=0 and the whole stop_ms at the time when the process goes on; no supervisor takes part.

Fix: the dispatcher keeps the latest stall, a time of more than StallThreshold without a tick. A signal that is handled in it or just after it counts from its start. Time to answer what was read always remains.

--- a/cmd/milletbarrow/serve.go
+++ b/cmd/milletbarrow/serve.go
@@ -231,7 +231,7 @@
 	}()
 	go func() {
 		for range notice { // repeated signals have no further effect
-			b.shutdown.notify(b.dispatcher, 0, "signal")
+			b.shutdown.notifyBySignal(b.dispatcher, b.bounds)
 		}
 	}()
 	return failures
--- a/cmd/milletbarrow/serve_races_test.go
+++ b/cmd/milletbarrow/serve_races_test.go
@@ -302,6 +302,34 @@
 	}
 }
 
+// TestNoticeDuringStallCountsFromStall guards against a shutdown that counts from the end of a stall. The notice arrives
+// while the process is suspended; a request that does not end has its answer before the stop all the same.
+func TestNoticeDuringStallCountsFromStall(t *testing.T) {
+	const stall = 1200 * time.Millisecond
+	b := prepareWithShutdownWindow(t, time.Second, 3500*time.Millisecond).start().ready()
+	n := fakes.Dial(t, b.address)
+	n.Send(fakes.Invocation(1, 1, "wait=10000"))
+	fakes.Take(t, "a launch", b.executor.Launches)
+	b.cmd.Process.Signal(syscall.SIGSTOP)
+	endStalls := watchStalls()
+	since := b.term()
+	time.Sleep(stall) // the length of the suspension; there is no condition to wait for
+	b.cmd.Process.Signal(syscall.SIGCONT)
+	f := n.Expect()
+	for f.Type != 11 {
+		f = n.Expect()
+	}
+	took, stalled := time.Since(since), endStalls()
+	t.Logf("answered %v after the notice, test process delayed by %v", took, stalled)
+	if took > b.stop+stalled {
+		t.Errorf("%v: answered %v after the notice, want at most %v", f, took, b.stop)
+	}
+	n.Close()
+	if err := fakes.Take(t, "the exit", b.ended); err != nil {
+		t.Error(err)
+	}
+}
+
 // TestRestartBeforeExecutorThrottlesUntilGreeting: a backend that is killed and restarted before its executor is
 // available reports bad health and throttles work until the executor's greeting, and accepts work after it.
 func TestRestartBeforeExecutorThrottlesUntilGreeting(t *testing.T) {
--- a/cmd/milletbarrow/serve_shutdown.go
+++ b/cmd/milletbarrow/serve_shutdown.go
@@ -35,6 +35,14 @@
 	}
 }
 
+// notifyBySignal handles the notice of a signal. The signal does not tell when it was sent: after a stall it may have
+// been pending since the start of the stall, and the deadlines count from there. Enough time remains to answer all
+// requests.
+func (s *shutdown) notifyBySignal(dispatcher *dispatch.Dispatcher, bounds limits.Bounds) {
+	longest := max(0, s.stop-bounds.RejectBeforeStop-bounds.ExitMargin)
+	s.notify(dispatcher, min(dispatcher.MaxSignalDelay(), longest), "signal")
+}
+
 // notify handles a notice that was first given the duration ago before now, and starts the drain. by names the source
 // of the notice for the log.
 func (s *shutdown) notify(dispatcher *dispatch.Dispatcher, ago time.Duration, by string) {
--- a/internal/agent/helpers_test.go
+++ b/internal/agent/helpers_test.go
@@ -97,8 +97,8 @@
 
 // instanceProcess is the state of an instance process, which serves only its admin socket. The prefix of its name
 // selects the fault that it simulates: ignoring (ignores notices), exiting (exits at the notice with an error), unready
-// (never becomes ready), crashing (exits at its start with an error), lingering (drains for lingeringExitTime) or flooding (writes to its log
-// continuously).
+// (never becomes ready), crashing (exits at its start with an error), lingering (drains for lingeringExitTime) or
+// flooding (writes to its log continuously).
 type instanceProcess struct {
 	name       string
 	grace      monotime.Micros // by its configuration file at the time of its start
--- a/internal/backend/dispatch/admit.go
+++ b/internal/backend/dispatch/admit.go
@@ -70,7 +70,7 @@
 // outdated gauges.
 func (d *Dispatcher) awaitFreshTick() {
 	d.mu.Lock()
-	if d.backend == nil || Now()-d.lastTick <= monotime.FromDuration(d.bounds.StallThreshold) {
+	if d.backend == nil || !d.stalledAt(Now()) {
 		d.mu.Unlock()
 		return
 	}
--- a/internal/backend/dispatch/dispatcher.go
+++ b/internal/backend/dispatch/dispatcher.go
@@ -65,6 +65,11 @@
 	lastTick monotime.Micros // time of the latest tick; until the first tick, of Open
 	tickDone chan struct{}   // closed at the next tick; nil if no arrival waits for it
 
+	// The latest stall: a time longer than StallThreshold between two ticks, in which the process did not run or ran
+	// too slowly.
+	stallStart monotime.Micros
+	stallEnd   monotime.Micros // 0: no stall yet
+
 	// Repeats of requests with an idempotency key.
 	results          *idempotency.Table // nil if no operation uses idempotency keys
 	readyRepeats     []string           // IDs of repeats whose original has ended
--- a/internal/backend/dispatch/ticker.go
+++ b/internal/backend/dispatch/ticker.go
@@ -48,7 +48,7 @@
 	if d.backend == nil {
 		return now + d.tickInterval()
 	}
-	d.lastTick = now
+	d.recordTick(now)
 	if d.results != nil {
 		d.results.EvictExpired(now, d.maxReadDelay(), monotime.FromDuration(d.bounds.SweepInterval))
 	}
@@ -70,6 +70,38 @@
 	return d.nextTick
 }
 
+// recordTick records the time of a tick, and a stall if the tick is late.
+func (d *Dispatcher) recordTick(now monotime.Micros) {
+	if d.stalledAt(now) {
+		d.stallStart = d.lastTick
+		d.stallEnd = now
+	}
+	d.lastTick = now
+}
+
+// stalledAt reports whether the time since the latest tick is a stall.
+func (d *Dispatcher) stalledAt(now monotime.Micros) bool {
+	return now-d.lastTick > monotime.FromDuration(d.bounds.StallThreshold)
+}
+
+// MaxSignalDelay returns how long a signal that is handled now may have been pending: since the start of the stall if
+// the process is in one or has just left it, else 0.
+func (d *Dispatcher) MaxSignalDelay() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := Now()
+	justLeft := d.stallEnd != 0 && now-d.stallEnd <= monotime.FromDuration(d.bounds.StallThreshold)
+	switch {
+	case d.backend == nil: // there are no ticks yet
+		return 0
+	case d.stalledAt(now):
+		return (now - d.lastTick).Duration()
+	case justLeft:
+		return (now - d.stallStart).Duration()
+	}
+	return 0
+}
+
 // tickInterval returns the time between ticks while the module sets no tick time.
 func (d *Dispatcher) tickInterval() monotime.Micros {
 	return d.settings.Admission.AnswerSlack / defaultTicksPerSlack
--- a/internal/backend/dispatch/ticker_test.go
+++ b/internal/backend/dispatch/ticker_test.go
@@ -132,3 +132,36 @@
 		t.Error("the overdue request is not answered")
 	}
 }
+
+// TestSignalAfterStallMayBeAsOldAsTheStall guards against counting a shutdown from the end of a stall: a signal that
+// came while the process stood still is handled when it goes on, before or after its first tick.
+func TestSignalAfterStallMayBeAsOldAsTheStall(t *testing.T) {
+	d := open(t)
+	d.bounds.StallThreshold = time.Second // so that load on the test machine causes no stall
+	const stall, sinceTick = 5 * monotime.Second, 100 * monotime.Millisecond
+	start := Now()
+	d.Tick(nil)
+	if delay := d.MaxSignalDelay(); delay != 0 {
+		t.Errorf("without a stall: %v, want 0", delay)
+	}
+	d.lastTick = start - stall
+	if delay := d.MaxSignalDelay(); delay < stall.Duration() {
+		t.Errorf("before the first tick after a stall of %v: %v", stall.Duration(), delay)
+	}
+	d.Tick(nil)
+	if delay := d.MaxSignalDelay(); delay < stall.Duration() {
+		t.Errorf("after the first tick after a stall of %v: %v", stall.Duration(), delay)
+	}
+	d.stallEnd -= monotime.FromDuration(d.bounds.StallThreshold) + sinceTick
+	if delay := d.MaxSignalDelay(); delay != 0 {
+		t.Errorf("long after a stall: %v, want 0", delay)
+	}
+}
+
+// TestNoSignalDelayBeforeOpen checks that the time before the first tick is no stall.
+func TestNoSignalDelayBeforeOpen(t *testing.T) {
+	d := newDispatcher(t, fakes.Settings, nil)
+	if delay := d.MaxSignalDelay(); delay != 0 {
+		t.Errorf("%v, want 0", delay)
+	}
+}
