Admin socket: a shutdown notice carries its time

What callers saw: beside other work on the machine, a draining backend ran an invocation that had arrived 2.05 s after its notice, with a grace of 2.0 s (50 ms are allowed).

Cause: the notice on the admin socket told how long ago it was given, computed before it was sent. What passed until the backend read it was added to the grace, and a second notice lets the module's grace, which has the margin for late notices, begin anew.

Fix: the notice carries its time on the host's clock, and the backend counts from that. event=killed has the right after_ms also for kills that the agent requests.

Runs: TestNoticeCountsFromItsTime on the former code failed ("a notice of 1us ago, want at least 400ms"), passes now. Packages admin and supervisor pass.

--- a/internal/backend/admin/client.go
+++ b/internal/backend/admin/client.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"milletbarrow/internal/backend/quota"
 	"milletbarrow/internal/jsonhttp"
 	"milletbarrow/internal/limits"
+	"milletbarrow/internal/process"
+	"milletbarrow/monotime"
 )
 
 // Client calls the admin socket of an instance. A response with a status other than 2xx is a *jsonhttp.StatusError. Its
@@ -28,9 +29,10 @@
 	return state, err
 }
 
-// Drain sends the instance a shutdown notice: it drains and exits. ago is the time since the first notice.
-func (c *Client) Drain(ctx context.Context, ago time.Duration) error {
-	return c.post(ctx, drainPath, Notice{Ago: ago.Microseconds()})
+// Drain sends the instance a shutdown notice: it drains and exits. notifiedAt is the time of the first notice on the
+// host's clock.
+func (c *Client) Drain(ctx context.Context, notifiedAt monotime.Micros) error {
+	return c.post(ctx, drainPath, Notice{Ago: int64(process.Now() - notifiedAt), NotifiedAt: notifiedAt})
 }
 
 // Override forces a level of graceful degradation, or ends an override.
--- a/internal/backend/admin/messages.go
+++ b/internal/backend/admin/messages.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"fmt"
 	"time"
 
 	"milletbarrow/internal/backend/quota"
@@ -67,7 +68,25 @@
 
 // Notice is a shutdown notice: the instance drains and exits.
 type Notice struct {
-	Ago int64 `json:"ago_us"` // microseconds since the first notice, 0 to maxAgo
+	Ago int64 `json:"ago_us"` // microseconds since the first notice when it was sent, 0 to maxAgo
+	// NotifiedAt is the time of the first notice on the host's clock, so that the time on the way counts; 0: not given,
+	// as by earlier releases.
+	NotifiedAt monotime.Micros `json:"at_us,omitempty"`
+}
+
+// sinceFirst returns the time since the first notice, or an error if the notice is outside the range.
+func (n Notice) sinceFirst(now monotime.Micros) (time.Duration, error) {
+	if n.Ago < 0 || n.Ago > maxAgo {
+		return 0, fmt.Errorf("ago_us: %d is outside the range 0 to %d", n.Ago, maxAgo)
+	}
+	ago := monotime.Micros(n.Ago)
+	if n.NotifiedAt == 0 {
+		return ago.Duration(), nil
+	}
+	if since := now - n.NotifiedAt; since < 0 || since > monotime.Micros(maxAgo) {
+		return 0, fmt.Errorf("at_us: %d is %d us ago, outside the range 0 to %d", n.NotifiedAt, since, maxAgo)
+	}
+	return max(ago, now-n.NotifiedAt).Duration(), nil
 }
 
 // maxAgo is the maximum of Notice.Ago, in microseconds.
--- a/internal/backend/admin/server.go
+++ b/internal/backend/admin/server.go
@@ -16,6 +16,7 @@
 
 	"milletbarrow/internal/backend/quota"
 	"milletbarrow/internal/limits"
+	"milletbarrow/internal/process"
 )
 
 // Errors that Listen returns, wrapped with the socket's path.
@@ -67,10 +68,11 @@
 		writeJSON(w, instance.State())
 	})
 	mux.HandleFunc("POST "+drainPath, handleMessage(bounds, http.StatusBadRequest, func(notice Notice) error {
-		if notice.Ago < 0 || notice.Ago > maxAgo {
-			return fmt.Errorf("ago_us: %d is outside the range 0 to %d", notice.Ago, maxAgo)
+		ago, err := notice.sinceFirst(process.Now())
+		if err != nil {
+			return err
 		}
-		instance.Drain(time.Duration(notice.Ago) * time.Microsecond)
+		instance.Drain(ago)
 		return nil
 	}))
 	mux.HandleFunc("POST "+overridePath, handleMessage(bounds, http.StatusUnprocessableEntity, instance.Override))
--- a/internal/backend/admin/server_test.go
+++ b/internal/backend/admin/server_test.go
@@ -14,6 +14,8 @@
 	"milletbarrow/internal/fakes"
 	"milletbarrow/internal/jsonhttp"
 	"milletbarrow/internal/limits"
+	"milletbarrow/internal/process"
+	"milletbarrow/monotime"
 )
 
 // serveInstance serves an instance on a new socket until the test ends, and returns a client for it.
@@ -84,8 +86,8 @@
 	if s, err := client.State(t.Context()); err != nil || s.Name != "n3" || s.InFlight != 7 {
 		t.Errorf("State() = %+v, %v", s, err)
 	}
-	if err := client.Drain(t.Context(), time.Hour); err != nil || drained != time.Hour {
-		t.Errorf("drained with a notice of %v ago, %v; want an hour", drained, err)
+	if err := client.Drain(t.Context(), process.Now()-monotime.Second); err != nil || drained < time.Second || drained > time.Minute {
+		t.Errorf("drained with a notice of %v ago, %v; want a second and the time on the way", drained, err)
 	}
 	if err := client.Override(t.Context(), Override{Level: "x"}); statusOf(err) != http.StatusUnprocessableEntity {
 		t.Errorf("a rejected override: %v, want status 422", err)
@@ -103,19 +105,46 @@
 	client := serveInstance(t, Instance{Drain: func(time.Duration) { t.Error("the notice was forwarded") }})
 	for _, test := range []struct {
 		name string
-		ago  time.Duration
+		ago  monotime.Micros
 	}{
-		{"in the future", -time.Microsecond},
-		{"more than an hour ago", time.Hour + time.Microsecond},
+		{"in the future", -monotime.FromDuration(time.Minute)},
+		{"more than an hour ago", monotime.FromDuration(time.Hour) + 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			if err := client.Drain(t.Context(), test.ago); statusOf(err) != http.StatusBadRequest {
+			if err := client.Drain(t.Context(), process.Now()-test.ago); statusOf(err) != http.StatusBadRequest {
 				t.Errorf("%v, want status 400", err)
 			}
 		})
 	}
 }
 
+// TestTimeOnTheWayCountsForNotice guards against a grace period that ends late by the time that the notice took on a
+// busy host, and checks the range of each field of a notice.
+func TestTimeOnTheWayCountsForNotice(t *testing.T) {
+	const now, hour = 5000 * monotime.Second, 3600 * monotime.Second
+	for _, test := range []struct {
+		name    string
+		notice  Notice
+		want    monotime.Micros
+		refused bool
+	}{
+		{"of an earlier release", Notice{Ago: 7}, 7, false},
+		{"an hour ago", Notice{Ago: int64(hour)}, hour, false},
+		{"longer ago", Notice{Ago: int64(hour) + 1}, 0, true},
+		{"sent in the future", Notice{Ago: -1}, 0, true},
+		{"with its time", Notice{Ago: 7, NotifiedAt: now - monotime.Second}, monotime.Second, false},
+		{"with a time before the boot", Notice{NotifiedAt: now - hour - 1}, 0, true},
+		{"with a time in the future", Notice{NotifiedAt: now + 1}, 0, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			ago, err := test.notice.sinceFirst(now)
+			if (err != nil) != test.refused || ago != test.want.Duration() {
+				t.Errorf("%v, %v; want %v, refused %t", ago, err, test.want.Duration(), test.refused)
+			}
+		})
+	}
+}
+
 // An instance without fleet-wide quotas responds to a quota request with status 404.
 func TestQuotaRequestWithoutQuotasIsNotFound(t *testing.T) {
 	client := serveInstance(t, Instance{
@@ -175,3 +204,15 @@
 		t.Errorf("the file is now %q, %v", text, err)
 	}
 }
+
+// TestNoticeCountsFromItsTime checks that a notice that carries its time counts from it, whatever time has passed since
+// by the sender's count.
+func TestNoticeCountsFromItsTime(t *testing.T) {
+	const ago = 400 * time.Millisecond
+	var drained time.Duration
+	client := serveInstance(t, Instance{Drain: func(ago time.Duration) { drained = ago }})
+	notice := map[string]int64{"ago_us": 1, "at_us": int64(process.Now()) - ago.Microseconds()}
+	if err := client.post(t.Context(), drainPath, notice); err != nil || drained < ago {
+		t.Errorf("drained with a notice of %v ago, %v; want at least %v", drained, err, ago)
+	}
+}
--- a/internal/supervisor/shutdown.go
+++ b/internal/supervisor/shutdown.go
@@ -13,19 +13,19 @@
 
 // actionTarget has the parameters of an action, copied so that it can be performed without holding the lock.
 type actionTarget struct {
-	instance    process.Identity
-	killCause   string               // empty: no kill
-	sinceNotice monotime.Micros      // time since the shutdown notice
-	window      fleet.ShutdownWindow // by which the monitor decides
+	instance      process.Identity
+	killCause     string               // empty: no kill
+	shutdownStart monotime.Micros      // by a notice or by the instance itself; 0: it has not begun
+	window        fleet.ShutdownWindow // by which the monitor decides
 }
 
-// actionTarget returns the target of actions that are performed now; the caller sets sinceNotice. The caller holds
-// s.mu.
+// actionTarget returns the target of actions that are performed now. The caller holds s.mu.
 func (s *supervisor) actionTarget() actionTarget {
 	return actionTarget{
-		instance:  s.record.Instance,
-		killCause: s.monitor.KillCause,
-		window:    s.monitor.Window,
+		instance:      s.record.Instance,
+		killCause:     s.monitor.KillCause,
+		shutdownStart: s.monitor.shutdownStart(),
+		window:        s.monitor.Window,
 	}
 }
 
@@ -35,24 +35,28 @@
 	case SignalShutdown:
 		s.logSignalError(target.instance.Signal(syscall.SIGTERM))
 	case NotifySocket:
-		go s.notifySocket(ctx, target.sinceNotice) // an unresponsive instance must not block the main loop
+		go s.notifySocket(ctx, target.shutdownStart) // an unresponsive instance must not block the main loop
 	case KillGroup:
 		s.killGroup(target)
 	}
 }
 
 // notifySocket sends the shutdown notice to the instance's admin socket.
-func (s *supervisor) notifySocket(ctx context.Context, sinceNotice monotime.Micros) {
+func (s *supervisor) notifySocket(ctx context.Context, notifiedAt monotime.Micros) {
 	ctx, cancel := context.WithTimeout(ctx, s.options.Bounds.IdlePollInterval)
 	defer cancel()
-	_ = s.instance.Drain(ctx, sinceNotice.Duration()) // the monitor repeats the notice until it is acknowledged
+	_ = s.instance.Drain(ctx, notifiedAt) // the monitor repeats the notice until it is acknowledged
 }
 
 // killGroup kills the instance and its process group.
 func (s *supervisor) killGroup(target actionTarget) {
 	err := target.instance.KillGroup()
+	after := monotime.Micros(0)
+	if target.shutdownStart != 0 {
+		after = process.Now() - target.shutdownStart
+	}
 	slog.Warn("killed", "name", s.options.Name, "run", s.options.Incarnation, "cause", target.killCause,
-		"after_ms", target.sinceNotice/monotime.Millisecond, "grace_ms", target.window.Grace/monotime.Millisecond,
+		"after_ms", after/monotime.Millisecond, "grace_ms", target.window.Grace/monotime.Millisecond,
 		"stop_ms", target.window.ExitTimeout/monotime.Millisecond)
 	s.logSignalError(err)
 }
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -170,7 +170,6 @@
 	s.mu.Lock()
 	actions := s.monitor.NextActions(now)
 	target := s.actionTarget()
-	target.sinceNotice = now - s.monitor.NotifiedAt
 	phase, _ := s.monitor.Phase(now)
 	s.publishIfChanged(now)
 	s.mu.Unlock()
