Supervisor: notify an instance that drains late on its socket at once

With a grace below 0.4 s, a backend on a busy host would be killed with what it had read.

Cause: an instance that handles the signal more than 100 ms late was corrected on its socket after 250 ms at the earliest, and killed 150 ms before the end of its grace. Trace of a trial: handled at 128 ms, reported as 128 ms late, killed at 153 ms.

Fix: an instance that reports a grace that ends too late gets the notice on its socket at once.

Runs: TestLateDrainIsCorrectedAtOnce fails without the change, passes with it.

--- a/internal/supervisor/monitor.go
+++ b/internal/supervisor/monitor.go
@@ -8,8 +8,8 @@
 
 // Time limits of a shutdown, counted from the shutdown notice unless stated otherwise.
 const (
-	// acknowledgeTimeout is how long an instance may take to acknowledge the signal. After that it is also notified on
-	// its admin socket, every socketNoticeInterval.
+	// acknowledgeTimeout is how long an instance may take to acknowledge the signal. After that, or once it reports
+	// that it received the signal late, it is also notified on its admin socket, every socketNoticeInterval.
 	acknowledgeTimeout   = 250 * monotime.Millisecond
 	socketNoticeInterval = 200 * monotime.Millisecond
 	// lateNoticeAllowance is how long after the notice an instance may start its grace period. The instance shortens
@@ -123,6 +123,12 @@
 		m.lastState.GraceEnds <= m.NotifiedAt+m.Window.Grace+lateNoticeAllowance
 }
 
+// drainsLate reports whether the instance, by its latest response, drains beyond the window of the notice. It counts
+// from a later time, and a notice on its socket corrects that.
+func (m *Monitor) drainsLate() bool {
+	return m.lastState != nil && m.lastState.Draining && !m.drainsInWindow()
+}
+
 // checkedSinceNotice reports whether a health check that was sent after the notice has an outcome. Without one, nothing
 // is known of the instance's reaction, for example right after its adoption.
 func (m *Monitor) checkedSinceNotice() bool { return m.lastCheckAt >= m.NotifiedAt }
@@ -159,7 +165,7 @@
 	case elapsed >= m.Window.ExitTimeout:
 		m.KillCause = causeExitTimeout
 		return append(actions, KillGroup)
-	case !acknowledged && elapsed >= acknowledgeTimeout &&
+	case !acknowledged && (elapsed >= acknowledgeTimeout || m.drainsLate()) &&
 		(m.socketNotifiedAt == 0 || now-m.socketNotifiedAt >= socketNoticeInterval):
 		m.socketNotifiedAt = now
 		actions = append(actions, NotifySocket)
--- a/internal/supervisor/monitor_invariants_test.go
+++ b/internal/supervisor/monitor_invariants_test.go
@@ -116,6 +116,27 @@
 	}
 }
 
+// TestLateDrainIsCorrectedAtOnce guards against the kill of an instance that received the signal late and has a short
+// grace period: the notice on its socket, which corrects it, was sent only after the time of the kill.
+func TestLateDrainIsCorrectedAtOnce(t *testing.T) {
+	const reported = second + lateNoticeAllowance + 20*millisecond
+	short := fleet.ShutdownWindow{Grace: 300 * millisecond, ExitTimeout: 600 * millisecond}
+	m := &Monitor{Window: short}
+	m.RecordNotice(second, "s1")
+	m.NextActions(second)
+	m.Observe(reported, Observation{RequestedAt: reported, State: draining(reported + short.Grace).State})
+	if actions := m.NextActions(reported); !slices.Equal(actions, []Action{NotifySocket}) {
+		t.Fatalf("%v, want a notice on the socket", actions)
+	}
+	corrected := reported + 10*millisecond
+	m.Observe(corrected, Observation{RequestedAt: corrected, State: draining(second + short.Grace).State})
+	for now := corrected; now < second+short.ExitTimeout; now += 10 * millisecond {
+		if actions := m.NextActions(now); len(actions) > 0 {
+			t.Fatalf("%d us after the notice: %v, want no action", now-second, actions)
+		}
+	}
+}
+
 // TestDrainWithoutNoticeEndsAtExitTimeout checks that an instance that drains without a notice is killed at its exit
 // timeout and not earlier. The timeout counts from the start of the grace period as the instance first reported it.
 func TestDrainWithoutNoticeEndsAtExitTimeout(t *testing.T) {
