Fleet: count the agent's kill from when the supervisor took the notice

What could be seen: a notice that reaches a supervisor late, because it is being replaced, starts the backend's window late; the agent's own kill counted from the first attempt and came before the backend's stop.

Cause: the time at which the supervisor took the notice was not in its report.

Fix: the report has it, and the deadline follows.

Shown in the state machine, not between processes.

--- a/internal/fleet/apply_observation.go
+++ b/internal/fleet/apply_observation.go
@@ -27,13 +27,20 @@
 	}
 }
 
-// recordWindow records the shutdown window that the instance runs with. If it was notified before the window was known,
-// its deadline is set by that window.
+// recordWindow records the shutdown window that the instance runs with, and when the notice reached its supervisor.
+// Both may become known only after the notice was issued, and the deadline follows them.
 func (m *Machine) recordWindow(inst *Instance, observed Observation) {
-	if observed.Window == (ShutdownWindow{}) || observed.Window == inst.Window {
+	windowKnown := observed.Window != (ShutdownWindow{}) && observed.Window != inst.Window
+	noticeReached := inst.NoticeID != "" && observed.NoticeID == inst.NoticeID && observed.NotifiedAt > inst.NotifiedAt
+	if !windowKnown && !noticeReached {
 		return
 	}
-	inst.Window = observed.Window
+	if windowKnown {
+		inst.Window = observed.Window
+	}
+	if noticeReached {
+		inst.NotifiedAt = observed.NotifiedAt
+	}
 	if inst.NoticeID != "" && inst.KillAttempts == 0 {
 		inst.PhaseDeadline = m.exitDeadline(inst.NotifiedAt, inst)
 	}
--- a/internal/fleet/invariants_test.go
+++ b/internal/fleet/invariants_test.go
@@ -333,6 +333,30 @@
 	}
 }
 
+// TestExitDeadlineCountsFromSupervisorsNotice guards against the agent's kill of a draining instance whose notice
+// reached the supervisor late, for example because another one was adopting the instance.
+func TestExitDeadlineCountsFromSupervisorsNotice(t *testing.T) {
+	const delay = 2 * second
+	host := newHost(t, readTestSpec(t, twoInstances))
+	startAll(host)
+	issuedAt := host.now
+	decide(t, host, CommandReceived{&Command{
+		ID: "down", Kind: KindDrain, Names: []string{"a"}, Deadline: host.now + 60*second,
+	}})
+	inst := host.m.instances["a"]
+	host.now += delay
+	for range 2 { // a repeated report changes nothing
+		decide(t, host, InstanceObserved{Name: "a", Observation: Observation{
+			Incarnation: inst.Incarnation, Phase: PhaseDraining, NoticeID: inst.NoticeID, NotifiedAt: issuedAt + delay,
+		}})
+		want := delay + testExitTimeout + host.m.config.KillDelay
+		if got := inst.PhaseDeadline - issuedAt; got != want {
+			t.Errorf("deadline %d us after the notice was issued, want %d", got, want)
+		}
+		host.now += stepTime
+	}
+}
+
 // TestNextIncarnationHasNoReportedWindow checks that the window of an incarnation does not count for the next one.
 func TestNextIncarnationHasNoReportedWindow(t *testing.T) {
 	host := newHost(t, readTestSpec(t, twoInstances))
--- a/internal/fleet/observation.go
+++ b/internal/fleet/observation.go
@@ -18,6 +18,8 @@
 	Rejected    int    `json:"turned"`           // of Invocations: throttled or answered with an error
 	Level       string `json:"level,omitempty"`  // of degradation; empty: not known
 	LevelCause  string `json:"why,omitempty"`    // of the latest change of Level
+	// NotifiedAt is when the supervisor accepted NoticeID; 0: not known, as from earlier releases.
+	NotifiedAt monotime.Micros `json:"told_at,omitempty"`
 	// Window is the shutdown window that the instance runs with; zero: not known.
 	Window ShutdownWindow `json:"window,omitzero"`
 	Detail Detail         `json:"detail,omitempty"` // from a supervisor of another release; empty: none
--- a/internal/supervisor/api.go
+++ b/internal/supervisor/api.go
@@ -106,6 +106,7 @@
 	o := fleet.Observation{
 		Incarnation: s.record.Incarnation,
 		NoticeID:    s.record.NoticeID,
+		NotifiedAt:  s.record.NotifiedAt,
 		Window:      s.record.Window,
 	}
 	if s.record.Ended {
