Fleet: an agent without its store leaves a draining instance its window

What could be seen: an agent whose store was lost killed the instances that were draining, at once, with what they had read.

Cause: the supervisor's state file had no shutdown window, and the time of the notice was taken for the deadline.

Fix: the deadline is the notice plus the recorded exit timeout.

--- a/internal/agent/recovery_test.go
+++ b/internal/agent/recovery_test.go
@@ -256,6 +256,28 @@
 	wantOutcomes(t, h.agent.Command("drain"), map[string]fleet.Outcome{"lingering": fleet.OutcomeSucceeded})
 }
 
+// TestDrainSurvivesLossOfStore guards against the kill of a draining instance by an agent whose store was lost: it took
+// the time of the notice for the deadline.
+func TestDrainSurvivesLossOfStore(t *testing.T) {
+	timing := longTiming
+	timing.grace = 2 * time.Second
+	h := newTimedHost(t, timing, "lingering")
+	h.startAgent(nil)
+	h.mustSubmit("start", fleet.KindStart)
+	h.waitForCommand("start")
+	h.mustSubmit("drain", fleet.KindDrain)
+	h.waitUntil("the instance drains", func() bool { return h.supervisorState("lingering").Acknowledged })
+	h.stopAgent()
+	if err := os.Remove(agentstore.Path(h.dir)); err != nil {
+		t.Fatal(err)
+	}
+	h.startAgent(nil)
+	h.waitUntil("the instance has ended", func() bool { return h.supervisorState("lingering").Ended })
+	if s := h.supervisorState("lingering"); s.End.KillReason != "" {
+		t.Errorf("ended %v after its notice: %v", s.End.DrainTime.Duration(), s.End)
+	}
+}
+
 // TestReloadRejectsOmittedRunningInstance checks that a reload with a fleet file that omits a running instance is
 // rejected, and that a reload can add instances.
 func TestReloadRejectsOmittedRunningInstance(t *testing.T) {
--- a/internal/agent/watch.go
+++ b/internal/agent/watch.go
@@ -182,6 +182,7 @@
 		Exit:            state.End,
 		NoticeID:        state.NoticeID,
 		NotifiedAt:      state.NotifiedAt,
+		Window:          state.Window,
 		SupervisorAlive: state.Supervisor.Alive(),
 		InstanceAlive:   state.Instance.Alive(),
 	}
--- a/internal/fleet/adoption.go
+++ b/internal/fleet/adoption.go
@@ -18,6 +18,10 @@
 	if record.State != RecordRead || record.Ended {
 		return Instance{}, false
 	}
+	deadline := record.NotifiedAt
+	if record.NoticeID != "" {
+		deadline += record.Window.ExitTimeout
+	}
 	return Instance{
 		Name:          name,
 		DesiredUp:     record.NoticeID == "",
@@ -25,7 +29,8 @@
 		Incarnation:   record.Incarnation,
 		NoticeID:      record.NoticeID,
 		NotifiedAt:    record.NotifiedAt,
-		PhaseDeadline: record.NotifiedAt,
+		Window:        record.Window,
+		PhaseDeadline: deadline,
 		Phase:         PhaseUnknown,
 	}, true
 }
--- a/internal/fleet/adoption_test.go
+++ b/internal/fleet/adoption_test.go
@@ -37,6 +37,19 @@
 			},
 			adopted: true,
 		},
+		{ // guards against its kill by the agent before its exit timeout
+			name: "notified, with its window",
+			record: SupervisorRecord{
+				State: RecordRead, Incarnation: "a.7", NoticeID: "a.8", NotifiedAt: 5,
+				Window: ShutdownWindow{Grace: second, ExitTimeout: 2 * second},
+			},
+			want: Instance{
+				Name: "a", Incarnation: "a.7", ActionCount: 7 + adoptedCountMargin,
+				NoticeID: "a.8", NotifiedAt: 5, PhaseDeadline: 5 + 2*second, Phase: PhaseUnknown,
+				Window: ShutdownWindow{Grace: second, ExitTimeout: 2 * second},
+			},
+			adopted: true,
+		},
 		{
 			name:   "incarnation without a count",
 			record: SupervisorRecord{State: RecordRead, Incarnation: "x"},
--- a/internal/fleet/silence.go
+++ b/internal/fleet/silence.go
@@ -25,6 +25,7 @@
 	Exit            Exit            // Ended: of the incarnation
 	NoticeID        string          // the shutdown notice that the supervisor has accepted; empty: none
 	NotifiedAt      monotime.Micros // when the supervisor accepted NoticeID
+	Window          ShutdownWindow  // that the instance runs with; zero: not known
 	SupervisorAlive bool            // the supervisor process that wrote the record runs
 	InstanceAlive   bool            // the process of the instance runs
 }
