--- a/internal/agent/recovery_test.go
+++ b/internal/agent/recovery_test.go
@@ -218,10 +218,9 @@
 	wantOutcomes(t, h.agent.Command("drain"), map[string]fleet.Outcome{"a": fleet.OutcomeSucceeded})
 }
 
-// TestInstanceAdoptedAfterGraceDrainsToItsEnd guards against the kill of a draining instance by the supervisor that
-// adopts it: when its grace period is nearly over, the supervisor took the missing response for a missed notice.
-func TestInstanceAdoptedAfterGraceDrainsToItsEnd(t *testing.T) {
-	t.Parallel()
+// newLingeringDrain returns a host whose only instance is draining, for lingeringExitTime.
+func newLingeringDrain(t *testing.T) *testHost {
+	t.Helper()
 	timing := longTiming
 	timing.grace = 2 * time.Second
 	h := newTimedHost(t, timing, "lingering")
@@ -229,6 +228,14 @@
 	h.mustSubmit("start", fleet.KindStart)
 	h.waitUntil("the start has ended", func() bool { return h.commandDone("start") })
 	h.mustSubmit("drain", fleet.KindDrain)
+	return h
+}
+
+// TestInstanceAdoptedAfterGraceDrainsToItsEnd guards against the kill of a draining instance by the supervisor that
+// adopts it: when its grace period is nearly over, the supervisor took the missing response for a missed notice.
+func TestInstanceAdoptedAfterGraceDrainsToItsEnd(t *testing.T) {
+	t.Parallel()
+	h := newLingeringDrain(t)
 	h.waitUntil("the grace period has ended", func() bool {
 		return h.agent.Status().Instances[0].Phase == fleet.PhaseStopping
 	})
@@ -263,13 +270,7 @@
 // the time of the notice for the deadline.
 func TestDrainSurvivesLossOfStore(t *testing.T) {
 	t.Parallel()
-	timing := longTiming
-	timing.grace = 2 * time.Second
-	h := newTimedHost(t, timing, "lingering")
-	h.startAgent(nil)
-	h.mustSubmit("start", fleet.KindStart)
-	h.waitUntil("the start has ended", func() bool { return h.commandDone("start") })
-	h.mustSubmit("drain", fleet.KindDrain)
+	h := newLingeringDrain(t)
 	h.waitUntil("the instance drains", func() bool { return h.supervisorState("lingering").Acknowledged })
 	h.stopAgent()
 	if err := os.Remove(agentstore.Path(h.dir)); err != nil {
--- a/internal/backend/admin/messages.go
+++ b/internal/backend/admin/messages.go
@@ -83,10 +83,11 @@
 	if n.NotifiedAt == 0 {
 		return ago.Duration(), nil
 	}
-	if since := now - n.NotifiedAt; since < 0 || since > monotime.Micros(maxAgo) {
+	since := now - n.NotifiedAt
+	if since < 0 || since > monotime.Micros(maxAgo) {
 		return 0, fmt.Errorf("at_us: %d is %d us ago, outside the range 0 to %d", n.NotifiedAt, since, maxAgo)
 	}
-	return max(ago, now-n.NotifiedAt).Duration(), nil
+	return max(ago, since).Duration(), nil
 }
 
 // maxAgo is the maximum of Notice.Ago, in microseconds.
--- a/internal/fleet/apply_observation.go
+++ b/internal/fleet/apply_observation.go
@@ -11,7 +11,7 @@
 		m.handleExit(now, inst, observed.Exit)
 		return
 	}
-	m.recordWindow(inst, observed)
+	m.recordShutdownTimes(inst, observed)
 	m.countInvocations(now, inst, observed)
 	m.recordLevel(now, inst, observed)
 	if observed.Phase != PhaseUnknown {
@@ -27,9 +27,9 @@
 	}
 }
 
-// recordWindow records the shutdown window that the instance runs with, and when the notice reached its supervisor.
+// recordShutdownTimes records the window that the instance runs with, and when the notice reached its supervisor.
 // Both may become known only after the notice was issued, and the deadline follows them.
-func (m *Machine) recordWindow(inst *Instance, observed Observation) {
+func (m *Machine) recordShutdownTimes(inst *Instance, observed Observation) {
 	windowKnown := observed.Window != (ShutdownWindow{}) && observed.Window != inst.Window
 	noticeReached := inst.NoticeID != "" && observed.NoticeID == inst.NoticeID && observed.NotifiedAt > inst.NotifiedAt
 	if !windowKnown && !noticeReached {
